--- /dev/null
+++ b/Makefile
@@ -0,0 +1,58 @@
+# make demo [EXAMPLE=dakar]   sets up, builds and runs an example deployment
+# make test                   sets up, builds and passes every test
+# make bench | capacity | soak SEED=n DURATION_S=n
+EXAMPLE ?= harvesters
+SEED ?= 1
+DURATION_S ?= 60
+BUILD ?= build
+
+PACKAGES = g++ cmake ninja-build ccache libboost1.81-dev libcereal-dev libdocopt-dev \
+  libeasyloggingpp-dev librapidcheck-dev catch2 libxxhash-dev libbenchmark-dev \
+  clang-format clang-tidy git make
+
+.PHONY: install build demo test check bench capacity soak format lint tsan clean
+
+install:
+	@missing=$$(for p in $(PACKAGES); do dpkg -s $$p >/dev/null 2>&1 || echo $$p; done); \
+	if [ -n "$$missing" ]; then \
+	  apt-get update -qq && apt-get install -y -qq --no-install-recommends $$missing >/dev/null; \
+	fi
+
+$(BUILD)/build.ninja:
+	cmake -S . -B $(BUILD) -G Ninja >/dev/null
+
+build: install $(BUILD)/build.ninja
+	@ninja -C $(BUILD) --quiet
+
+demo: build
+	$(BUILD)/test/demo --binaries=$(BUILD) --example=examples/$(EXAMPLE) --work=run/$(EXAMPLE)
+
+test: build
+	ctest --test-dir $(BUILD) --output-on-failure --no-tests=error
+
+bench: build
+	@$(BUILD)/bench/bench --binaries=$(BUILD)
+
+capacity: build
+	$(BUILD)/bench/capacity
+
+soak: build
+	$(BUILD)/test/soak --binaries=$(BUILD) --seed=$(SEED) --duration-s=$(DURATION_S)
+
+format:
+	git ls-files '*.hpp' '*.cpp' | xargs clang-format -i
+
+check: install
+	git ls-files '*.hpp' '*.cpp' | xargs clang-format --dry-run --Werror
+
+lint: build
+	git ls-files 'src/*.cpp' 'apps/*.cpp' | xargs -P 4 -n 4 clang-tidy --quiet -p $(BUILD)
+
+tsan: install
+	@test -f build-tsan/build.ninja || cmake -S . -B build-tsan -G Ninja \
+	  -DGUAVASHED_SANITIZE_THREAD=ON >/dev/null
+	@ninja -C build-tsan --quiet correctness_concurrency
+	build-tsan/test/correctness_concurrency
+
+clean:
+	rm -rf $(BUILD) build-tsan run
--- /dev/null
+++ b/apps/guavashedd.cpp
@@ -0,0 +1,110 @@
+/// \file
+/// The daemon: one process of the system, with the roles that its settings give it.
+#include "control_node.hpp"
+#include "entry_node.hpp"
+#include "log.hpp"
+#include "process_life.hpp"
+#include "settings.hpp"
+
+#include <boost/asio/signal_set.hpp>
+#include <iostream>
+
+namespace
+{
+using namespace guavashed;
+
+constexpr std::chrono::seconds entry_leave_limit{120};
+constexpr std::chrono::seconds control_leave_limit{5};
+constexpr int exit_usage = 2;
+constexpr int exit_failure = 1;
+
+/// The roles of this process and the port that operators use.
+struct daemon_process
+{
+    std::unique_ptr<control_node> control;
+    std::unique_ptr<entry_node> entry;
+    std::unique_ptr<operator_port> port;
+};
+
+result<void> start(daemon_settings const& settings, daemon_process& process)
+{
+    operator_port::sinks to;
+    if (settings.control)
+    {
+        process.control = std::make_unique<control_node>(settings);
+        BOOST_OUTCOME_TRY(process.control->start());
+        to.control = [&process](operator_request item)
+        { return process.control->submit(std::move(item)); };
+    }
+    if (settings.entry)
+    {
+        process.entry = std::make_unique<entry_node>(settings);
+        BOOST_OUTCOME_TRY(process.entry->start());
+        to.entry = [&process](operator_request item)
+        { return process.entry->submit(std::move(item)); };
+    }
+    process.port = std::make_unique<operator_port>(settings.operator_key, to);
+    return process.port->listen(settings.operator_listen);
+}
+
+bool drain(daemon_process& process)
+{
+    bool whole = true;
+    if (process.entry)
+        whole = process.entry->leave(instant::clock::now() + entry_leave_limit);
+    if (process.control)
+        process.control->leave(instant::clock::now() + control_leave_limit);
+    return whole;
+}
+
+int run(daemon_settings const& settings)
+{
+    start_log(settings.name.value());
+    // Caught from here on, so that a stop during the start is still a planned one.
+    boost::asio::io_context signal_context;
+    boost::asio::signal_set signals(signal_context, SIGTERM, SIGINT);
+    signals.async_wait([](boost::system::error_code, int) {});
+    process_life life;
+    daemon_process process;
+    auto const started = start(settings, process);
+    if (!started)
+    {
+        std::cerr << "guavashedd: " << to_string(started.error()) << "\n";
+        return exit_failure;
+    }
+    life.fire(process_event::started);
+    signal_context.run();
+    life.fire(process_event::stop_requested);
+    log_change(log_level::info, "process_phase", std::string("phase=") + to_string(life.phase()));
+    bool const whole = drain(process);
+    life.fire(process_event::drained);
+    process.port->stop();
+    if (process.entry)
+        process.entry->stop();
+    if (process.control)
+        process.control->stop();
+    return whole ? 0 : exit_failure;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    auto const parsed = read_settings({argv + 1, argv + argc});
+    if (!parsed)
+    {
+        std::cerr << "guavashedd: " << to_string(parsed.error()) << "\n";
+        return exit_usage;
+    }
+    if (parsed.value().print_only)
+    {
+        std::cout << parsed.value().print.text;
+        return parsed.value().print.exit_code;
+    }
+    if (parsed.value().settings.check_only)
+    {
+        std::cout << "settings are valid\n";
+        return 0;
+    }
+    return run(parsed.value().settings);
+}
--- /dev/null
+++ b/src/choose_forward.cpp
@@ -0,0 +1,83 @@
+#include "choose_forward.hpp"
+
+#include <algorithm>
+#include <array>
+
+namespace guavashed
+{
+namespace
+{
+
+constexpr std::size_t max_candidates = 64;
+/// A forward must save at least this much, or the hop is not worth its risk.
+constexpr microseconds worth_a_hop{2'000};
+constexpr std::uint32_t unknown_service_us = 50'000;
+
+struct candidate
+{
+    host_row const* row = nullptr;
+    service_load const* load = nullptr;
+    microseconds hop{0};
+};
+
+using candidates = std::array<candidate, max_candidates>;
+
+std::size_t collect(fleet_view const& view, forward_inputs const& inputs, bool same_region,
+                    link_has_room const& room, candidates& out)
+{
+    std::size_t count = 0;
+    for (auto const& row : view.rows())
+    {
+        if (count == out.size())
+            break;
+        if (row.host == inputs.self->host || row.phase != host_phase::serving)
+            continue;
+        if ((row.region == inputs.self->region) != same_region)
+            continue;
+        service_load const* load = find_load(row, inputs.service);
+        if (load == nullptr || load->slots == 0)
+            continue;
+        if (!same_region && !room(row.region))
+            continue;
+        out[count++] = {&row, load, same_region ? inputs.near_hop : inputs.far_hop};
+    }
+    return count;
+}
+
+microseconds expected_start(candidate const& item, forward_inputs const& inputs,
+                            outstanding_forwards const& outstanding)
+{
+    std::uint32_t ahead = outstanding(item.row->host) + item.load->in_flight;
+    for (std::size_t r = 0; r <= index_of(inputs.importance); ++r)
+        ahead += item.load->waiting[r];
+    std::uint32_t const service_us =
+        item.load->mean_service_us == 0 ? unknown_service_us : item.load->mean_service_us;
+    std::uint32_t const excess = ahead + 1 > item.load->slots ? ahead + 1 - item.load->slots : 0;
+    return item.hop + microseconds(std::uint64_t{excess} * service_us / item.load->slots);
+}
+
+} // namespace
+
+host_row const* choose_forward(fleet_view const& view, forward_inputs const& inputs,
+                               outstanding_forwards const& outstanding, link_has_room const& room)
+{
+    candidates found;
+    for (bool const same_region : {true, false})
+    {
+        if (!same_region && !inputs.may_cross_regions)
+            break;
+        std::size_t const count = collect(view, inputs, same_region, room, found);
+        if (count == 0)
+            continue;
+        std::size_t const a = inputs.draw % count;
+        std::size_t const b = (inputs.draw >> 32) % count;
+        auto const start_a = expected_start(found[a], inputs, outstanding);
+        auto const start_b = expected_start(found[b], inputs, outstanding);
+        auto const best = std::min(start_a, start_b);
+        if (best + worth_a_hop < inputs.local_wait && best < inputs.latest_start)
+            return start_a <= start_b ? found[a].row : found[b].row;
+    }
+    return nullptr;
+}
+
+} // namespace guavashed
--- /dev/null
+++ b/src/claim_book.cpp
@@ -0,0 +1,83 @@
+#include "claim_book.hpp"
+
+namespace guavashed
+{
+namespace
+{
+
+/// Clocks of hosts may differ by this much: a ticket issued this shortly after the book's birth
+/// may in truth be older than it.
+constexpr milliseconds clock_margin{2000};
+
+} // namespace
+
+claim_reply claim_book::apply(wall_instant now, claim_request const& request)
+{
+    claim_reply reply{request.step, request.key, request.attempt, claim_vote::granted, {}};
+    if (request.step != claim_step::claim)
+    {
+        restore(request);
+        return reply;
+    }
+    if (request.expires_ms <= wall_ms(now))
+        reply.vote = claim_vote::expired;
+    else if (request.issued_ms < wall_ms(born_ + clock_margin))
+        reply.vote = claim_vote::abstained;
+    else
+        reply.vote = claim(request);
+    if (reply.vote == claim_vote::settled)
+        reply.answer = *records_.at(request.key).answer;
+    return reply;
+}
+
+claim_vote claim_book::claim(claim_request const& request)
+{
+    auto const [at, added] = records_.try_emplace(request.key);
+    record& held = at->second;
+    if (added)
+    {
+        held = {request.attempt, request.issued_ms, request.expires_ms, {}};
+        by_expiry_.emplace(request.expires_ms, request.key);
+        return claim_vote::granted;
+    }
+    if (held.answer)
+        return claim_vote::settled;
+    return held.attempt == request.attempt ? claim_vote::granted : claim_vote::held_elsewhere;
+}
+
+void claim_book::restore(claim_request const& request)
+{
+    if (request.step == claim_step::claim)
+    {
+        claim(request);
+        return;
+    }
+    auto const at = records_.find(request.key);
+    bool const holds = at != records_.end() && at->second.attempt == request.attempt;
+    if (request.step == claim_step::settle)
+    {
+        if (!holds && at != records_.end() && at->second.answer)
+            return;
+        // The claimant ran it by a majority that need not include this book.
+        auto const [held, added] = records_.try_emplace(request.key);
+        if (added)
+            by_expiry_.emplace(request.expires_ms, request.key);
+        held->second = {request.attempt, request.issued_ms, request.expires_ms, request.answer};
+        return;
+    }
+    if (holds && !at->second.answer)
+        records_.erase(at);
+}
+
+std::size_t claim_book::expire(wall_instant now)
+{
+    std::size_t gone = 0;
+    while (!by_expiry_.empty() && by_expiry_.begin()->first <= wall_ms(now))
+    {
+        gone += records_.erase(by_expiry_.begin()->second);
+        by_expiry_.erase(by_expiry_.begin());
+    }
+    return gone;
+}
+
+} // namespace guavashed
--- /dev/null
+++ b/src/claim_round.cpp
@@ -0,0 +1,70 @@
+#include "claim_round.hpp"
+
+#include <algorithm>
+
+namespace guavashed
+{
+
+bool claim_round::count(host_name const& recorder)
+{
+    if (std::find(voted_.begin(), voted_.end(), recorder) != voted_.end())
+        return false;
+    voted_.push_back(recorder);
+    return true;
+}
+
+std::optional<claim_verdict> claim_round::vote(host_name const& recorder, claim_reply const& reply)
+{
+    if (!count(recorder))
+        return decide();
+    switch (reply.vote)
+    {
+    case claim_vote::granted:
+        ++granted_;
+        break;
+    case claim_vote::held_elsewhere:
+        ++held_;
+        break;
+    case claim_vote::settled:
+        ++settled_;
+        answer_ = reply.answer;
+        break;
+    case claim_vote::expired:
+        ++expired_;
+        break;
+    case claim_vote::abstained:
+        break;
+    }
+    return decide();
+}
+
+std::optional<claim_verdict> claim_round::miss(host_name const& recorder)
+{
+    count(recorder);
+    return decide();
+}
+
+std::optional<claim_verdict> claim_round::decide() const
+{
+    std::size_t const quorum = recorders_ / 2 + 1;
+    if (settled_ > 0)
+        return claim_verdict::settled;
+    if (granted_ >= quorum)
+        return claim_verdict::granted;
+    if (voted_.size() < recorders_)
+        return std::nullopt;
+    return close();
+}
+
+claim_verdict claim_round::close() const
+{
+    if (settled_ > 0)
+        return claim_verdict::settled;
+    if (held_ > 0)
+        return claim_verdict::unknown;
+    if (expired_ > 0)
+        return claim_verdict::expired;
+    return claim_verdict::unreachable;
+}
+
+} // namespace guavashed
--- /dev/null
+++ b/src/control_node.cpp
@@ -0,0 +1,649 @@
+#include "control_node.hpp"
+
+#include "codec.hpp"
+#include "invariant.hpp"
+#include "log.hpp"
+
+#include <algorithm>
+#include <future>
+
+namespace guavashed
+{
+namespace
+{
+
+constexpr std::size_t ring_capacity = 1024;
+constexpr milliseconds tick_interval{10};
+constexpr milliseconds join_interval{200};
+constexpr milliseconds presence_interval{500};
+constexpr milliseconds housekeeping_interval{200};
+constexpr milliseconds push_interval{250};
+constexpr milliseconds presence_lease{2500};
+/// An entry host may hold its state to be the newest for this long after a fresh replica said so.
+constexpr milliseconds configuration_lease{2000};
+constexpr std::chrono::hours seat_hold{2};
+constexpr std::uint64_t entries_between_snapshots = 500;
+constexpr std::size_t max_acceptances = 256;
+
+std::string claims_path(daemon_settings const& settings)
+{
+    return settings.data_folder + "/claims";
+}
+
+} // namespace
+
+control_node::control_node(daemon_settings const& settings)
+    : settings_(settings), duty_("control"), timer_(duty_.context()),
+      operator_ring_(duty_, ring_capacity,
+                     [this](operator_request&& item) { on_operator(std::move(item)); })
+{
+}
+
+control_node::~control_node()
+{
+    stop();
+}
+
+result<void> control_node::start()
+{
+    BOOST_OUTCOME_TRY(auto opened, raft_store::open(settings_.data_folder));
+    if (opened.torn_bytes > 0)
+        log_change(log_level::warning, "torn_tail_cut",
+                   "bytes=" + std::to_string(opened.torn_bytes));
+    disk_ = opened.disk;
+    born_ = opened.born;
+    claim_book book(born_);
+    BOOST_OUTCOME_TRY(auto claims, open_claims(claims_path(settings_), book));
+    BOOST_OUTCOME_TRY(state_.load(opened.restored.snapshot.state));
+    applied_ = opened.restored.snapshot.index;
+    applied_term_ = opened.restored.snapshot.term;
+    applied_membership_ = opened.restored.snapshot.membership;
+    compacted_ = applied_;
+
+    storage_ = std::make_unique<storage_duty>(
+        duty_, std::move(opened.store), std::move(claims), claims_path(settings_),
+        [this](storage_done&& done) { on_storage(std::move(done)); });
+    recorder_ = std::make_unique<recorder>(std::move(book), [this](persist_claims job)
+                                           { return storage_->submit(std::move(job)); });
+    raft_settings rules;
+    rules.self = settings_.name;
+    rules.disk = disk_;
+    rules.seed = disk_.value();
+    raft_ = std::make_unique<raft>(rules, std::move(opened.restored), instant::clock::now());
+
+    frame_identity const identity{settings_.name.value(), settings_.cluster_key};
+    server_ = std::make_unique<frame_server>(duty_, *this, identity);
+    BOOST_OUTCOME_TRY(server_->listen(settings_.peer_listen));
+    for (auto const& host : settings_.controls)
+    {
+        if (host.host == settings_.name)
+            continue;
+        peer_state& peer = peers_[host.host];
+        peer.link = std::make_unique<frame_client>(duty_, *this, identity, host.peer_endpoint);
+    }
+    boost::asio::post(duty_.context(),
+                      [this]
+                      {
+                          for (auto& [host, peer] : peers_)
+                              peer.link->start();
+                          schedule_tick();
+                      });
+    log_change(log_level::info, "control_started",
+               std::string("disk=") + (opened.fresh ? "fresh" : "known") +
+                   " version=" + std::to_string(state_.version().value()));
+    return boost::outcome_v2::success();
+}
+
+void control_node::schedule_tick()
+{
+    timer_.expires_after(tick_interval);
+    timer_.async_wait(
+        [this](boost::system::error_code code)
+        {
+            if (code)
+                return;
+            tick(instant::clock::now());
+            schedule_tick();
+        });
+}
+
+void control_node::tick(instant now)
+{
+    raft_->tick(now);
+    drive_raft(now);
+    recorder_->tick(std::chrono::system_clock::now());
+    if (now >= next_join_)
+    {
+        next_join_ = now + join_interval;
+        send_join();
+        found_when_possible();
+    }
+    if (now >= next_presence_)
+    {
+        next_presence_ = now + presence_interval;
+        share_presence();
+    }
+    if (now >= next_housekeeping_)
+    {
+        next_housekeeping_ = now + housekeeping_interval;
+        for (auto const& host : presence_.expire(now))
+            log_change(log_level::warning, "host_gone", "host=" + host.value());
+        if (raft_->lease_holds(now) && raft_->caught_up())
+        {
+            mend_membership(now);
+            seat_hosts(now);
+            step_shifts(now);
+            drive_raft(now);
+        }
+        compact_when_due();
+    }
+    watch_in_force(now);
+    for (auto& [session, entry] : entries_)
+        if (now >= entry.next_push)
+            push_to(now, entry);
+    std::erase_if(confirms_,
+                  [&](waiting_confirm const& item)
+                  {
+                      if (now < item.until)
+                          return false;
+                      item.exchange->respond(error_response(
+                          504, fail(error_code::timeout, "confirm", settings_.name.value(),
+                                    "not known yet whether it was accepted; confirm the same plan "
+                                    "again to learn it")));
+                      return true;
+                  });
+}
+
+void control_node::drive_raft(instant now)
+{
+    if (raft_->role() != last_role_ || raft_->leader() != last_leader_)
+    {
+        last_role_ = raft_->role();
+        last_leader_ = raft_->leader();
+        if (raft_->is_leader())
+        {
+            led_since_ = now;
+            shifts_.reset();
+        }
+        if (last_leader_ != host_name())
+        {
+            ++counters_.leaders_seen;
+            log_change(log_level::info, "leader",
+                       "leader=" + last_leader_.value() +
+                           " term=" + std::to_string(raft_->term().value()) +
+                           " role=" + to_string(last_role_));
+        }
+    }
+    while (!in_storage_ && !compacting_ && !storage_failed_)
+    {
+        raft_batch batch = raft_->take_batch();
+        if (batch.empty())
+            return;
+        if (!batch.needs_sync())
+        {
+            release(std::move(batch));
+            continue;
+        }
+        in_storage_ = batch;
+        if (!storage_->submit(persist_log{std::move(batch)}))
+            GUAVASHED_INVARIANT(false) << "the storage ring is full with one job in flight";
+    }
+}
+
+void control_node::on_storage(storage_done&& done)
+{
+    instant const now = instant::clock::now();
+    if (done.failure)
+    {
+        ++counters_.storage_failures;
+        log_change(log_level::error, "storage_failed", to_string(*done.failure));
+    }
+    if (auto const* claims = std::get_if<persist_claims>(&done.job))
+        return recorder_->on_stored(std::chrono::system_clock::now(), *claims,
+                                    done.failure.has_value());
+    if (done.failure)
+    {
+        // What this replica has not synced it must never acknowledge: it stays silent from here on.
+        storage_failed_ = true;
+        return;
+    }
+    if (std::holds_alternative<compact_log>(done.job))
+    {
+        compacting_ = false;
+        return drive_raft(now);
+    }
+    raft_batch batch = std::move(*in_storage_);
+    in_storage_.reset();
+    release(std::move(batch));
+    drive_raft(now);
+}
+
+void control_node::release(raft_batch batch)
+{
+    raft_->on_persisted(instant::clock::now());
+    if (batch.install)
+    {
+        auto const loaded = state_.load(batch.install->state);
+        GUAVASHED_INVARIANT(loaded.has_value()) << to_string(loaded.error());
+        applied_ = batch.install->index;
+        applied_term_ = batch.install->term;
+        applied_membership_ = batch.install->membership;
+        compacted_ = applied_;
+    }
+    for (auto const& entry : batch.committed)
+        apply(entry);
+    for (auto const& message : batch.messages)
+        send_raft(message);
+    push_changed_state(instant::clock::now());
+}
+
+void control_node::apply(raft_entry const& entry)
+{
+    GUAVASHED_INVARIANT(entry.index.value() == applied_.value() + 1)
+        << "entry " << entry.index << " would be applied after " << applied_;
+    applied_ = entry.index;
+    applied_term_ = entry.term;
+    if (entry.kind == entry_kind::membership)
+    {
+        if (auto decoded = decode<raft_membership>(entry.payload, "log"))
+            applied_membership_ = std::move(decoded).value();
+        return;
+    }
+    if (entry.kind != entry_kind::command)
+        return;
+    auto const command = decode<control_command>(entry.payload, "log");
+    GUAVASHED_INVARIANT(command.has_value()) << to_string(command.error());
+    config_version const before = state_.version();
+    control_answer const answer = state_.apply(command.value());
+    GUAVASHED_INVARIANT(state_.version() >= before)
+        << "version went from " << before << " to " << state_.version();
+    if (state_.version() != before)
+    {
+        acceptances_.push_back({state_.version(), instant::clock::now(), std::nullopt});
+        if (acceptances_.size() > max_acceptances)
+            acceptances_.erase(acceptances_.begin());
+        log_change(log_level::info, "accepted",
+                   "version=" + std::to_string(state_.version().value()));
+    }
+    if (command.value().kind != control_command_kind::confirm)
+        return;
+    std::erase_if(confirms_,
+                  [&](waiting_confirm const& item)
+                  {
+                      if (item.operation != answer.operation)
+                          return false;
+                      item.exchange->respond(confirmed(answer));
+                      return true;
+                  });
+}
+
+void control_node::compact_when_due()
+{
+    if (in_storage_ || compacting_ || storage_failed_ ||
+        applied_.value() < compacted_.value() + entries_between_snapshots)
+        return;
+    raft_snapshot snapshot{applied_, applied_term_, applied_membership_, state_.save()};
+    compact_log job{snapshot, raft_->persisted_after(applied_)};
+    compacting_ = storage_->submit(std::move(job));
+    if (!compacting_)
+        return;
+    raft_->on_snapshot(std::move(snapshot));
+    compacted_ = applied_;
+}
+
+void control_node::send_raft(raft_message const& message)
+{
+    auto const peer = peers_.find(message.to);
+    if (peer == peers_.end())
+        return;
+    ++counters_.raft_messages;
+    peer->second.link->send(frame_type::raft, encode(message));
+}
+
+void control_node::send_join()
+{
+    join_message out;
+    out.host = settings_.name;
+    out.disk = disk_;
+    out.peer_endpoint = settings_.peer_listen;
+    out.operator_endpoint = settings_.operator_listen;
+    out.blank = raft_->last_index().value() == 0;
+    out.founding = state_.founding();
+    std::string const bytes = encode(out);
+    for (auto& [host, peer] : peers_)
+        peer.link->send(frame_type::join, bytes);
+}
+
+void control_node::on_join(join_message message)
+{
+    auto const known = peers_.find(message.host);
+    if (message.host == settings_.name)
+        return;
+    if (known == peers_.end())
+    {
+        // A control host that was added after this one's settings were written.
+        frame_identity const identity{settings_.name.value(), settings_.cluster_key};
+        peer_state& peer = peers_[message.host];
+        peer.link = std::make_unique<frame_client>(duty_, *this, identity, message.peer_endpoint);
+        peer.link->start();
+    }
+    bool const blank = raft_->last_index().value() == 0;
+    raft_member const* self = message.founding.find(settings_.name);
+    if (blank && self != nullptr && self->disk == disk_)
+    {
+        control_state founded;
+        founded.found(message.founding);
+        raft_->found({log_index(1), log_term(1), message.founding, founded.save()});
+    }
+    peer_state& peer = peers_[message.host];
+    peer.said = std::move(message);
+    peer.heard = true;
+}
+
+void control_node::found_when_possible()
+{
+    if (raft_->last_index().value() != 0)
+        return;
+    raft_membership founding;
+    founding.members.push_back({settings_.name, disk_, true});
+    for (auto const& [host, peer] : peers_)
+    {
+        if (!peer.heard || !peer.said.blank || host < settings_.name)
+            return;
+        founding.members.push_back({host, peer.said.disk, true});
+    }
+    control_state founded;
+    founded.found(founding);
+    raft_->found({log_index(1), log_term(1), founding, founded.save()});
+    log_change(log_level::info, "group_founded",
+               "members=" + std::to_string(founding.members.size()));
+}
+
+void control_node::mend_membership(instant now)
+{
+    if (!raft_->membership_settled())
+        return;
+    raft_membership next = raft_->membership();
+    for (auto const& [host, peer] : peers_)
+    {
+        if (!peer.heard || !peer.said.blank)
+            continue;
+        raft_member const* held = next.find(host);
+        if (held != nullptr && held->disk == peer.said.disk)
+            continue;
+        // Its old disk is gone and with it what it promised: it starts anew, without a vote.
+        std::erase_if(next.members, [&](raft_member const& item) { return item.host == host; });
+        next.members.push_back({host, peer.said.disk, false});
+        if (raft_->propose_membership(next))
+            log_change(log_level::info, "member_taken_in", "host=" + host.value());
+        return;
+    }
+    for (auto& member : next.members)
+    {
+        if (member.voter || raft_->heard_from(member.host) + std::chrono::seconds(1) < now ||
+            raft_->match_of(member.host) < raft_->commit_index())
+            continue;
+        member.voter = true;
+        host_name const host = member.host;
+        if (raft_->propose_membership(next))
+            log_change(log_level::info, "member_votes", "host=" + host.value());
+        return;
+    }
+}
+
+bool control_node::propose(control_command const& command)
+{
+    return raft_->propose(encode(command)).has_value();
+}
+
+void control_node::seat_hosts(instant now)
+{
+    if (raft_->last_index() != applied_)
+        return;
+    auto const& fleet = state_.fleet();
+    for (auto const& row : presence_.rows())
+    {
+        region_config const* region = find_region(fleet.config, row.region);
+        bool const seated = std::any_of(
+            fleet.seats.begin(), fleet.seats.end(),
+            [&](seat const& item) { return item.host == row.host && item.region == row.region; });
+        if (region == nullptr || seated || row.phase == host_phase::leaving)
+            continue;
+        for (std::uint32_t position = 0; position < region->entry_hosts; ++position)
+        {
+            auto const holder =
+                std::find_if(fleet.seats.begin(), fleet.seats.end(),
+                             [&](seat const& item)
+                             { return item.region == row.region && item.position == position; });
+            bool const held = holder != fleet.seats.end();
+            if (held && std::max(presence_.last_seen(holder->host), led_since_) + seat_hold > now)
+                continue;
+            control_command command;
+            command.kind = control_command_kind::take_seat;
+            command.taken = {row.host, row.region, position};
+            command.at_ms = wall_ms(std::chrono::system_clock::now());
+            propose(command);
+            return;
+        }
+    }
+}
+
+std::optional<region_load> control_node::load_of(region_name const& region) const
+{
+    std::uint32_t slots = 0;
+    std::uint32_t in_flight = 0;
+    double weighted_us = 0;
+    for (auto const& row : presence_.rows())
+    {
+        if (row.region != region)
+            continue;
+        for (auto const& load : row.services)
+        {
+            slots += load.slots;
+            in_flight += load.in_flight;
+            weighted_us += double(load.slots) * load.mean_service_us;
+        }
+    }
+    if (slots == 0)
+        return std::nullopt;
+    return region_load{slot_count(slots), slot_count(in_flight),
+                       microseconds(static_cast<std::int64_t>(weighted_us / slots))};
+}
+
+void control_node::step_shifts(instant now)
+{
+    if (raft_->last_index() != applied_)
+        return;
+    for (auto const& shift : state_.fleet().config.shifts)
+    {
+        auto const decision = shifts_.decide(now, shift, load_of(shift.to));
+        if (!decision)
+            continue;
+        control_command command;
+        command.kind = control_command_kind::shift_step;
+        command.shift = shift;
+        command.shift.current = decision->current;
+        command.at_ms = wall_ms(std::chrono::system_clock::now());
+        propose(command);
+        return;
+    }
+}
+
+void control_node::on_open(frame_session_ptr const&) {}
+
+void control_node::on_close(frame_session_ptr const& session)
+{
+    entries_.erase(session.get());
+}
+
+void control_node::on_frame(frame_session_ptr const& session, frame&& item)
+{
+    switch (item.type)
+    {
+    case frame_type::raft:
+        if (auto message = decode<raft_message>(item.payload, session->peer()))
+        {
+            raft_->step(instant::clock::now(), message.value());
+            return drive_raft(instant::clock::now());
+        }
+        break;
+    case frame_type::join:
+        if (auto message = decode<join_message>(item.payload, session->peer()))
+            return on_join(std::move(message).value());
+        break;
+    case frame_type::presence:
+        return on_presence(session, item.payload);
+    case frame_type::peer_presence:
+        return on_peer_presence(item.payload);
+    case frame_type::claim:
+        if (auto request = decode<claim_request>(item.payload, session->peer()))
+        {
+            std::weak_ptr<frame_session> const to = session;
+            return recorder_->on_request(std::move(request).value(),
+                                         [to](claim_reply const& reply)
+                                         {
+                                             if (auto const open = to.lock())
+                                                 open->send(frame_type::claim_reply, encode(reply));
+                                         });
+        }
+        break;
+    default:
+        break;
+    }
+    ++counters_.bad_frames;
+    log_change(log_level::warning, "bad_frame", "peer=" + session->peer());
+    session->close();
+}
+
+void control_node::on_presence(frame_session_ptr const& session, std::string const& payload)
+{
+    auto row = decode<host_row>(payload, session->peer());
+    if (!row)
+    {
+        ++counters_.bad_frames;
+        return session->close();
+    }
+    instant const now = instant::clock::now();
+    auto const [at, added] = entries_.try_emplace(session.get());
+    entry_session& entry = at->second;
+    entry.session = session;
+    entry.host = row.value().host;
+    bool const advanced = entry.acknowledged < row.value().version;
+    entry.acknowledged = row.value().version;
+    entry.sent = std::max(entry.sent, entry.acknowledged);
+    host_row const* known = presence_.find(entry.host);
+    bool const phase_changed = known == nullptr || known->phase != row.value().phase;
+    presence_.renew(now, row.value(), now + presence_lease);
+    if (advanced || phase_changed)
+        share_presence();
+    if (added)
+        push_to(now, entry);
+}
+
+void control_node::on_peer_presence(std::string const& payload)
+{
+    auto said = decode<peer_presence>(payload, "control host");
+    if (!said)
+    {
+        ++counters_.bad_frames;
+        return;
+    }
+    instant const now = instant::clock::now();
+    for (auto const& row : said.value().rows)
+        presence_.renew(now, row, now + presence_lease);
+}
+
+void control_node::share_presence()
+{
+    peer_presence out;
+    for (auto const& [session, entry] : entries_)
+        if (host_row const* row = presence_.find(entry.host))
+            out.rows.push_back(*row);
+    if (out.rows.empty())
+        return;
+    std::string const bytes = encode(out);
+    for (auto& [host, peer] : peers_)
+        peer.link->send(frame_type::peer_presence, bytes);
+}
+
+void control_node::push_to(instant now, entry_session& entry)
+{
+    entry.next_push = now + push_interval;
+    instant const fresh = raft_->fresh_until();
+    if (fresh > now)
+    {
+        configuration_push out;
+        out.version = state_.version();
+        out.lease_left_ms = remaining_ms(std::min(fresh, now + milliseconds(400)), now) +
+                            static_cast<std::uint32_t>(configuration_lease.count());
+        if (entry.sent < state_.version())
+            out.state = state_.fleet();
+        entry.sent = state_.version();
+        ++counters_.pushes;
+        if (!entry.session->send(frame_type::configuration, encode(out)))
+            return;
+    }
+    view_push const view = presence_.changes_since(entry.view_seen);
+    if (view.whole || !view.changed.empty() || !view.gone.empty())
+        entry.session->send(frame_type::view, encode(view));
+}
+
+void control_node::push_changed_state(instant now)
+{
+    if (pushed_ == state_.version())
+        return;
+    pushed_ = state_.version();
+    for (auto& [session, entry] : entries_)
+        push_to(now, entry);
+}
+
+void control_node::watch_in_force(instant now)
+{
+    bool const waits = std::any_of(acceptances_.begin(), acceptances_.end(),
+                                   [](acceptance const& item) { return !item.in_force; });
+    if (!waits)
+        return;
+    config_version oldest = state_.version();
+    for (auto const& row : presence_.rows())
+        oldest = std::min(oldest, row.version);
+    for (auto& item : acceptances_)
+        if (!item.in_force && item.version <= oldest)
+            item.in_force = now;
+}
+
+bool control_node::submit(operator_request request)
+{
+    return operator_ring_.push(std::move(request));
+}
+
+void control_node::leave(instant until)
+{
+    bool done = false;
+    while (!done && instant::clock::now() < until)
+    {
+        std::promise<bool> led;
+        boost::asio::post(duty_.context(),
+                          [&]
+                          {
+                              instant const now = instant::clock::now();
+                              bool const leads = raft_->is_leader();
+                              if (leads)
+                                  raft_->hand_over(now);
+                              drive_raft(now);
+                              led.set_value(leads);
+                          });
+        done = !led.get_future().get();
+        if (!done)
+            std::this_thread::sleep_for(milliseconds(100));
+    }
+    log_change(log_level::info, "control_left", std::string("handed_over=") + (done ? "1" : "0"));
+}
+
+void control_node::stop()
+{
+    duty_.stop();
+    if (storage_)
+        storage_->stop();
+}
+
+} // namespace guavashed
--- /dev/null
+++ b/src/control_node.hpp
@@ -0,0 +1,153 @@
+/// \file
+/// Defines control_node, the control role: the replicated log, the fleet's presence, the recorder.
+#pragma once
+
+#include "control_messages.hpp"
+#include "control_state.hpp"
+#include "frame_link.hpp"
+#include "operator_port.hpp"
+#include "presence_table.hpp"
+#include "raft.hpp"
+#include "recorder.hpp"
+#include "settings.hpp"
+#include "shift_controller.hpp"
+#include "storage_duty.hpp"
+
+#include <boost/asio/steady_timer.hpp>
+#include <map>
+#include <memory>
+
+namespace guavashed
+{
+
+struct control_counters
+{
+    std::uint64_t raft_messages = 0;
+    std::uint64_t bad_frames = 0;
+    std::uint64_t pushes = 0;
+    std::uint64_t leaders_seen = 0;
+    std::uint64_t storage_failures = 0;
+};
+
+/// Runs on its own duty and a storage duty. Thread safety: construct, `start`, `leave` and `stop`
+/// from the main thread; all else on the duty.
+class control_node : public frame_handler
+{
+public:
+    explicit control_node(daemon_settings const& settings);
+    ~control_node() override;
+
+    /// Opens the data folder and the ports.
+    result<void> start();
+    /// Takes operator requests. Thread safety: the operator duty.
+    bool submit(operator_request request);
+    /// Hands leadership over before a planned stop; returns when it has, or by `until`.
+    void leave(instant until);
+    void stop();
+    /// The duty and handler that the peer port serves, for a host with both roles.
+    duty& peer_duty() { return duty_; }
+
+    void on_open(frame_session_ptr const& session) override;
+    void on_frame(frame_session_ptr const& session, frame&& item) override;
+    void on_close(frame_session_ptr const& session) override;
+
+private:
+    /// An entry host's session with this control host.
+    struct entry_session
+    {
+        frame_session_ptr session;
+        host_name host;
+        config_version sent;
+        config_version acknowledged;
+        std::uint64_t view_seen = 0;
+        instant next_push;
+    };
+
+    struct peer_state
+    {
+        std::unique_ptr<frame_client> link;
+        join_message said;
+        bool heard = false;
+    };
+
+    struct waiting_confirm
+    {
+        operation_id operation;
+        std::shared_ptr<http_exchange> exchange;
+        instant until;
+    };
+
+    void schedule_tick();
+    void tick(instant now);
+    void drive_raft(instant now);
+    void release(raft_batch batch);
+    void apply(raft_entry const& entry);
+    void compact_when_due();
+    void on_storage(storage_done&& done);
+    void send_raft(raft_message const& message);
+    void send_join();
+    void on_join(join_message message);
+    void found_when_possible();
+    void mend_membership(instant now);
+    void on_presence(frame_session_ptr const& session, std::string const& payload);
+    void on_peer_presence(std::string const& payload);
+    void share_presence();
+    void push_to(instant now, entry_session& entry);
+    void push_changed_state(instant now);
+    void seat_hosts(instant now);
+    void step_shifts(instant now);
+    void watch_in_force(instant now);
+    std::optional<region_load> load_of(region_name const& region) const;
+    bool propose(control_command const& command);
+
+    void on_operator(operator_request&& item);
+    void answer_plan(operator_request& item);
+    void answer_confirm(operator_request& item);
+    void answer_from_leader(operator_request& item);
+    http_response status(instant now) const;
+    http_response history() const;
+    http_response metrics() const;
+    http_response not_leader() const;
+    http_response confirmed(control_answer const& answer) const;
+
+    daemon_settings settings_;
+    duty duty_;
+    boost::asio::steady_timer timer_;
+    std::unique_ptr<frame_server> server_;
+    std::unique_ptr<storage_duty> storage_;
+    std::unique_ptr<raft> raft_;
+    std::unique_ptr<recorder> recorder_;
+    ring<operator_request> operator_ring_;
+    control_state state_;
+    presence_table presence_;
+    shift_controller shifts_;
+    disk_id disk_;
+    wall_instant born_;
+    std::map<host_name, peer_state> peers_;
+    std::map<frame_session*, entry_session> entries_;
+    std::vector<waiting_confirm> confirms_;
+    std::optional<raft_batch> in_storage_;
+    bool compacting_ = false;
+    bool storage_failed_ = false;
+    log_index applied_;
+    log_term applied_term_;
+    raft_membership applied_membership_;
+    log_index compacted_;
+    raft_role_state last_role_ = raft_role_state::follower;
+    host_name last_leader_;
+    config_version pushed_;
+    instant next_join_;
+    instant next_presence_;
+    instant next_housekeeping_;
+    instant led_since_;
+    struct acceptance
+    {
+        config_version version;
+        instant at;
+        std::optional<instant> in_force;
+    };
+    std::vector<acceptance> acceptances_;
+    control_counters counters_;
+};
+
+} // namespace guavashed
--- /dev/null
+++ b/src/endpoint.cpp
@@ -0,0 +1,27 @@
+#include "endpoint.hpp"
+
+#include <charconv>
+
+namespace guavashed
+{
+
+result<boost::asio::ip::tcp::endpoint> parse_endpoint(endpoint_text const& text)
+{
+    std::string const& value = text.value();
+    auto const colon = value.rfind(':');
+    if (colon == std::string::npos)
+        return fail(error_code::invalid_setting, "parse endpoint", value, "expected IP:PORT");
+    unsigned port = 0;
+    char const* const end = value.data() + value.size();
+    auto const parsed = std::from_chars(value.data() + colon + 1, end, port);
+    if (parsed.ec != std::errc{} || parsed.ptr != end || port == 0 || port > 65535)
+        return fail(error_code::invalid_setting, "parse endpoint", value,
+                    "port must be 1 to 65535");
+    boost::system::error_code code;
+    auto const address = boost::asio::ip::make_address(value.substr(0, colon), code);
+    if (code)
+        return fail(error_code::invalid_setting, "parse endpoint", value, "expected an IP number");
+    return boost::asio::ip::tcp::endpoint(address, static_cast<unsigned short>(port));
+}
+
+} // namespace guavashed
--- /dev/null
+++ b/src/endpoint.hpp
@@ -0,0 +1,17 @@
+/// \file
+/// Defines the conversion of "127.0.0.1:7000" into a TCP or UDP endpoint.
+#pragma once
+
+#include "error.hpp"
+#include "ids.hpp"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/ip/udp.hpp>
+
+namespace guavashed
+{
+
+/// Parses an IP number and port; host names are refused. Thread safe.
+result<boost::asio::ip::tcp::endpoint> parse_endpoint(endpoint_text const& text);
+
+} // namespace guavashed
--- /dev/null
+++ b/src/entry_front.hpp
@@ -0,0 +1,87 @@
+/// \file
+/// Defines entry_front, the port where callers look up, callers call and upstreams announce.
+#pragma once
+
+#include "entry_messages.hpp"
+#include "http_server.hpp"
+#include "settings.hpp"
+#include "steering_table.hpp"
+#include "upstream_pool.hpp"
+
+#include <atomic>
+#include <memory>
+#include <variant>
+
+namespace guavashed
+{
+
+/// A caller's request with what only the I/O needs.
+struct front_call
+{
+    caller_request request;
+    std::string target;
+    std::string body;
+    std::shared_ptr<http_exchange> exchange;
+};
+
+struct front_abandoned
+{
+    request_id id;
+};
+
+struct front_announcement
+{
+    upstream_announcement said;
+    bool redirected = false;
+    std::shared_ptr<http_exchange> exchange;
+};
+
+using front_event = std::variant<front_call, front_abandoned, front_announcement>;
+
+struct front_counters
+{
+    std::atomic<std::uint64_t> lookups{0};
+    std::atomic<std::uint64_t> bad_requests{0};
+    std::atomic<std::uint64_t> ring_full{0};
+};
+
+/// Look-ups are answered here from the steering table; the rest goes to the decision duty.
+/// Thread safety: `on_request` on the caller duty; `set_serving` and `counters` from any thread.
+class entry_front : public http_handler
+{
+public:
+    /// Takes events to the decision duty; false when its ring is full.
+    using sink = std::function<bool(front_event)>;
+
+    entry_front(daemon_settings const& settings, steering_table const& table, sink to);
+
+    void on_request(http_request request, std::shared_ptr<http_exchange> exchange) override;
+    /// Look-ups are answered only while the host knows the newest configuration.
+    void set_serving(bool serving) { serving_ = serving; }
+    front_counters const& counters() const { return counters_; }
+
+    /// The answer to a look-up, as JSON; public for measurement. Precondition: the table is built.
+    std::string lookup_body(std::string_view client) const;
+
+private:
+    void lookup(http_request const& request, http_exchange& exchange);
+    void call(http_request&& request, std::shared_ptr<http_exchange> exchange);
+    void announce(http_request const& request, std::shared_ptr<http_exchange> exchange);
+    void refuse(http_exchange& exchange, unsigned status, std::string const& detail);
+
+    daemon_settings const& settings_;
+    steering_table const& table_;
+    std::vector<host_name> recorders_;
+    sink to_;
+    std::atomic<bool> serving_{false};
+    std::uint64_t next_id_ = 1;
+    front_counters counters_;
+};
+
+/// The HTTP answer that tells a caller what became of its request. Thread safe.
+http_response caller_response(give_answer answer);
+
+/// Reads an upstream's announcement. Thread safe.
+result<upstream_announcement> parse_announcement(std::string const& body);
+
+} // namespace guavashed
--- /dev/null
+++ b/src/entry_node.cpp
@@ -0,0 +1,510 @@
+#include "entry_node.hpp"
+
+#include "codec.hpp"
+#include "log.hpp"
+
+#include <algorithm>
+#include <boost/json.hpp>
+#include <future>
+#include <sstream>
+
+namespace guavashed
+{
+namespace json = boost::json;
+
+namespace
+{
+
+constexpr std::size_t front_capacity = 16'384;
+constexpr std::size_t operator_capacity = 256;
+constexpr std::size_t table_capacity = 8;
+constexpr milliseconds tick_interval{5};
+constexpr milliseconds publish_interval{250};
+/// How long the others may still name a leaving host: presence, view and push each lag.
+constexpr milliseconds view_lag{1500};
+/// Ids of requests that other entry hosts send here; the front's count from 1.
+constexpr std::uint64_t first_forwarded_id = std::uint64_t{1} << 62;
+
+std::string with_slash(std::string const& folder, char const* file)
+{
+    return folder + "/" + file;
+}
+
+} // namespace
+
+entry_node::entry_node(daemon_settings const& settings)
+    : settings_(settings), decision_("decision"), steering_("steering"), caller_("caller"),
+      timer_(decision_.context()),
+      front_ring_(decision_, front_capacity,
+                  [this](front_event&& event) { on_front(std::move(event)); }),
+      operator_ring_(decision_, operator_capacity,
+                     [this](operator_request&& item) { on_operator(std::move(item)); }),
+      table_ring_(steering_, table_capacity,
+                  [this](table_order&& order)
+                  {
+                      table_moves_ += table_.rebuild(order.config, order.view);
+                      table_built_ = true;
+                  }),
+      forwarded_ids_(first_forwarded_id)
+{
+}
+
+entry_node::~entry_node()
+{
+    stop();
+}
+
+result<void> entry_node::start()
+{
+    BOOST_OUTCOME_TRY(auto rules, chart::load(with_slash(settings_.chart_folder, "upstream.json"),
+                                              upstream_vocabulary()));
+    upstream_rules_ = std::move(rules);
+    wall_instant const now = std::chrono::system_clock::now();
+    life_ = incarnation(static_cast<std::uint64_t>(wall_ms(now)));
+    entry_settings core;
+    core.host = settings_.name;
+    core.region = settings_.region;
+    core.domain = settings_.domain;
+    core.life = life_;
+    core.policy = settings_.policy;
+    core.seed = life_.value() ^ stable_hash(settings_.name.value());
+    core_ = std::make_unique<entry_core>(core, *upstream_rules_);
+    front_ = std::make_unique<entry_front>(settings_, table_,
+                                           [this](front_event event)
+                                           { return front_ring_.push(std::move(event)); });
+    server_ = std::make_unique<http_server>(caller_, *front_, http_server_limits{});
+    std::string const home = settings_.name.value() + "/" + std::to_string(life_.value());
+    sender_ = std::make_unique<upstream_sender>(decision_, home,
+                                                [this](sender_result&& done)
+                                                {
+                                                    instant const at = instant::clock::now();
+                                                    core_->on_attempt(at, done.attempt,
+                                                                      std::move(done.result));
+                                                    run_actions(at);
+                                                });
+    hub_ = std::make_unique<peer_hub>(settings_, decision_,
+                                      [this](hub_event&& event) { on_hub(std::move(event)); });
+    BOOST_OUTCOME_TRY(hub_->start());
+    BOOST_OUTCOME_TRY(server_->listen(settings_.caller_listen));
+    boost::asio::post(decision_.context(), [this] { schedule_tick(); });
+    log_change(log_level::info, "entry_started", "life=" + std::to_string(life_.value()));
+    return boost::outcome_v2::success();
+}
+
+void entry_node::schedule_tick()
+{
+    timer_.expires_after(tick_interval);
+    timer_.async_wait(
+        [this](boost::system::error_code code)
+        {
+            if (code)
+                return;
+            tick(instant::clock::now());
+            schedule_tick();
+        });
+}
+
+void entry_node::tick(instant now)
+{
+    bool const connected = now < lease_until_;
+    core_->on_control_lease(connected);
+    core_->tick(now);
+    run_actions(now);
+    if (now >= next_publish_)
+        publish(now);
+    front_->set_serving(configured_ && table_built_ && !leaving_);
+}
+
+host_row entry_node::full_row(instant now) const
+{
+    host_row row = core_->row(now);
+    row.caller_endpoint = settings_.caller_listen;
+    row.peer_endpoint = settings_.peer_listen;
+    row.operator_endpoint = settings_.operator_listen;
+    return row;
+}
+
+void entry_node::publish(instant now)
+{
+    next_publish_ = now + publish_interval;
+    hub_->push(hub_presence{full_row(now)});
+}
+
+void entry_node::on_front(front_event&& event)
+{
+    instant const now = instant::clock::now();
+    if (auto* call = std::get_if<front_call>(&event))
+        on_call(std::move(*call));
+    else if (auto const* gone = std::get_if<front_abandoned>(&event))
+    {
+        held_.erase(gone->id);
+        core_->on_abandoned(now, gone->id);
+    }
+    else
+    {
+        auto& item = std::get<front_announcement>(event);
+        announce_answer const answer = core_->on_announce(now, item.said, item.redirected);
+        json::array others;
+        for (auto const& other : answer.others)
+            others.emplace_back(other.value());
+        json::object const body{{"accepted", answer.accepted},
+                                {"home", answer.home.value()},
+                                {"home_address", answer.home_endpoint.value()},
+                                {"lease_ms", answer.lease_ms},
+                                {"others", others}};
+        item.exchange->respond(json_response(200, json::serialize(body)));
+    }
+    run_actions(now);
+}
+
+void entry_node::on_call(front_call&& call)
+{
+    instant const now = instant::clock::now();
+    request_id const id = call.request.id;
+    held_request& held = held_[id];
+    held.exchange = std::move(call.exchange);
+    held.arrived = now;
+    held.content.service = call.request.service;
+    held.content.kind = call.request.kind;
+    held.content.caller = call.request.caller;
+    held.content.key = call.request.key;
+    held.content.first_try = call.request.first_try ? 1 : 0;
+    held.content.target = std::move(call.target);
+    held.content.body = std::move(call.body);
+    core_->on_request(now, std::chrono::system_clock::now(), call.request);
+}
+
+void entry_node::on_forwarded_request(hub_request&& item)
+{
+    instant const now = instant::clock::now();
+    request_id const id(forwarded_ids_++);
+    held_request& held = held_[id];
+    held.origin = std::move(item.from);
+    held.origin_id = item.request.id;
+    held.arrived = now;
+    held.content = std::move(item.request);
+    caller_request request;
+    request.id = id;
+    request.service = held.content.service;
+    request.kind = held.content.kind;
+    request.caller = held.content.caller;
+    request.key = held.content.key;
+    request.first_try = held.content.first_try != 0;
+    request.deadline = now + milliseconds(held.content.deadline_left_ms);
+    request.bytes = held.content.body.size();
+    request.forwarded = true;
+    core_->on_request(now, std::chrono::system_clock::now(), request);
+}
+
+void entry_node::on_hub(hub_event&& event)
+{
+    instant const now = instant::clock::now();
+    if (auto const* claim = std::get_if<hub_claim>(&event))
+        core_->on_claim(now, claim->id, claim->verdict, claim->answer);
+    else if (auto* forwarded = std::get_if<hub_forwarded>(&event))
+        core_->on_forward(now, std::move(forwarded->reply), forwarded->reached);
+    else if (auto* request = std::get_if<hub_request>(&event))
+        on_forwarded_request(std::move(*request));
+    else if (auto const* cancel = std::get_if<hub_cancel>(&event))
+    {
+        for (auto const& [id, held] : held_)
+            if (held.origin == cancel->from && held.origin_id == cancel->id)
+            {
+                request_id const gone = id;
+                held_.erase(gone);
+                core_->on_abandoned(now, gone);
+                break;
+            }
+    }
+    else if (auto* push = std::get_if<configuration_push>(&event))
+        on_configuration(std::move(*push));
+    else
+    {
+        core_->on_view(std::get<view_push>(event));
+        hub_->push(hub_neighbours{core_->view().rows()});
+        rebuild_table();
+    }
+    run_actions(now);
+}
+
+void entry_node::on_configuration(configuration_push&& push)
+{
+    instant const now = instant::clock::now();
+    config_version const held = core_->config().version;
+    if (push.state && push.state->config.version > held)
+    {
+        core_->on_state(now, *push.state);
+        publish(now);
+        rebuild_table();
+    }
+    // A replica that is behind this host confirms nothing.
+    if (push.version < core_->config().version)
+        return;
+    lease_until_ = std::max(lease_until_, now + milliseconds(push.lease_left_ms));
+    if (configured_)
+        return;
+    configured_ = true;
+    core_->start_serving();
+    log_change(log_level::info, "serving", "version=" + std::to_string(push.version.value()));
+    publish(now);
+}
+
+void entry_node::rebuild_table()
+{
+    table_ring_.push(table_order{core_->config(), core_->view()});
+}
+
+void entry_node::run_actions(instant now)
+{
+    for (auto& action : core_->take_actions())
+        run(now, std::move(action));
+}
+
+void entry_node::run(instant now, entry_action&& action)
+{
+    if (auto* order = std::get_if<send_upstream>(&action))
+        return send(now, std::move(*order));
+    if (auto* reply = std::get_if<give_answer>(&action))
+        return answer(now, std::move(*reply));
+    if (auto* onward = std::get_if<send_forward>(&action))
+        return forward(std::move(*onward));
+    if (auto* claim = std::get_if<start_claim>(&action))
+    {
+        request_id const id = claim->id;
+        if (!hub_->push(std::move(*claim)))
+            core_->on_claim(now, id, claim_verdict::unreachable, {});
+        return;
+    }
+    if (auto* record = std::get_if<record_claim>(&action))
+    {
+        hub_->push(std::move(*record));
+        return;
+    }
+    if (auto* cancel = std::get_if<cancel_forward>(&action))
+    {
+        hub_->push(std::move(*cancel));
+        return;
+    }
+    sender_->push(std::get<cancel_upstream>(action));
+}
+
+void entry_node::send(instant now, send_upstream&& order)
+{
+    attempt_id const attempt = order.attempt;
+    auto const held = held_.find(order.id);
+    upstream_work work{std::move(order), {}, {}, {}};
+    if (held != held_.end())
+    {
+        work.body = held->second.content.body;
+        work.caller = held->second.content.caller;
+        work.key = held->second.content.key;
+    }
+    bool const pushed = held != held_.end() && sender_->push(std::move(work));
+    if (!pushed)
+    {
+        attempt_result result;
+        result.ending = attempt_ending::unsent;
+        result.detail = "the upstream ring is full";
+        core_->on_attempt(now, attempt, std::move(result));
+        run_actions(now);
+    }
+}
+
+void entry_node::forward(send_forward&& order)
+{
+    auto const held = held_.find(order.id);
+    if (held == held_.end())
+        return;
+    hub_forward item{order, held->second.content};
+    item.request.id = order.id;
+    item.request.deadline_left_ms = remaining_ms(order.deadline, instant::clock::now());
+    request_id const id = order.id;
+    if (hub_->push(std::move(item)))
+        return;
+    forward_reply reply;
+    reply.id = id;
+    reply.outcome = outcome_kind::not_run;
+    reply.reason = "the peer ring is full";
+    core_->on_forward(instant::clock::now(), std::move(reply), false);
+    run_actions(instant::clock::now());
+}
+
+void entry_node::answer(instant now, give_answer&& reply)
+{
+    auto const at = held_.find(reply.id);
+    if (at == held_.end())
+        return;
+    held_request const held = std::move(at->second);
+    held_.erase(at);
+    if (reply.outcome == outcome_kind::answer)
+        if (service_config const* service = find_service(core_->config(), held.content.service))
+            if (work_kind_config const* kind = find_kind(*service, held.content.kind))
+                latency_.add(kind->importance,
+                             std::chrono::duration_cast<microseconds>(now - held.arrived));
+    if (held.origin)
+    {
+        forward_reply out{held.origin_id, reply.outcome,           reply.status,
+                          reply.cause,    std::move(reply.reason), std::move(reply.body)};
+        hub_->push(hub_reply{held.origin, std::move(out)});
+        return;
+    }
+    held.exchange->respond(caller_response(std::move(reply)));
+}
+
+bool entry_node::submit(operator_request request)
+{
+    return operator_ring_.push(std::move(request));
+}
+
+bool entry_node::leave(instant until)
+{
+    instant const looked_up_until = instant::clock::now() + settings_.lookup_validity + view_lag;
+    boost::asio::post(decision_.context(),
+                      [this]
+                      {
+                          leaving_ = true;
+                          core_->start_leaving();
+                          publish(instant::clock::now());
+                      });
+    log_change(log_level::info, "leaving", "host=" + settings_.name.value());
+    auto const unfinished = [this]
+    {
+        std::promise<std::size_t> count;
+        boost::asio::post(decision_.context(),
+                          [&] { count.set_value(core_->unfinished() + held_.size()); });
+        return count.get_future().get();
+    };
+    std::size_t left = unfinished();
+    while (instant::clock::now() < until && (instant::clock::now() < looked_up_until || left > 0))
+    {
+        std::this_thread::sleep_for(milliseconds(20));
+        left = unfinished();
+    }
+    server_->close();
+    while (instant::clock::now() < until && (left = unfinished()) > 0)
+        std::this_thread::sleep_for(milliseconds(20));
+    // Answers that were given are still being written.
+    std::this_thread::sleep_for(milliseconds(100));
+    log_change(log_level::info, "left", "unfinished=" + std::to_string(left));
+    return left == 0;
+}
+
+void entry_node::stop()
+{
+    caller_.stop();
+    if (sender_)
+        sender_->stop();
+    if (hub_)
+        hub_->stop();
+    decision_.stop();
+    steering_.stop();
+}
+
+void entry_node::on_operator(operator_request&& item)
+{
+    instant const now = instant::clock::now();
+    std::string_view const path = path_of(item.request.target);
+    if (path == "/healthz")
+        return item.exchange->respond(json_response(configured_ ? 200 : 503, "{}"));
+    if (path == "/metrics" || path == "/v1/entry/metrics")
+        return item.exchange->respond(metrics());
+    if (path == "/v1/entry/status")
+        return item.exchange->respond(status(now));
+    if (path == "/v1/entry/explain")
+        return item.exchange->respond(explain(query_value(item.request.target, "subject")));
+    if (path == "/v1/entry/burn")
+        return item.exchange->respond(burn());
+    item.exchange->respond(error_response(
+        404, fail(error_code::invalid_request, "operator request", "",
+                  "no " + item.request.method + " " + std::string(path) + " on an entry host")));
+}
+
+http_response entry_node::status(instant now) const
+{
+    json::array upstreams;
+    for (auto const& row : core_->upstream_rows())
+        upstreams.push_back(json::object{{"upstream", row.name.value()},
+                                         {"state", row.state},
+                                         {"slots", row.slots.value()},
+                                         {"in_flight", row.in_flight.value()},
+                                         {"mean_service_us", row.mean_service.count()},
+                                         {"served", row.served},
+                                         {"ejections", row.ejections}});
+    slot_share const& share = core_->region_share();
+    json::object const body{{"host", settings_.name.value()},
+                            {"version", core_->config().version.value()},
+                            {"control", now < lease_until_ ? "connected" : "isolated"},
+                            {"share_slots", share.limit(now).value()},
+                            {"share_used", share.used().value()},
+                            {"hosts_in_view", core_->view().rows().size()},
+                            {"upstreams", upstreams}};
+    return json_response(200, json::serialize(body));
+}
+
+http_response entry_node::explain(std::string const& subject) const
+{
+    json::array notes;
+    for (auto const& note : core_->notes().find(subject))
+        notes.push_back(json::object{{"at_ms", wall_ms(note.at)},
+                                     {"subject", note.subject},
+                                     {"decision", note.decision},
+                                     {"inputs", note.inputs},
+                                     {"version", note.version.value()}});
+    json::object const body{{"host", settings_.name.value()}, {"notes", notes}};
+    return json_response(200, json::serialize(body));
+}
+
+http_response entry_node::burn() const
+{
+    json::array rows;
+    for (auto const& row : core_->burn().rows_since(0))
+    {
+        json::array spent;
+        for (auto const count : row.counts.spent)
+            spent.emplace_back(count);
+        json::array latency;
+        for (auto const count : row.counts.latency)
+            latency.emplace_back(count);
+        rows.push_back(json::object{{"service", row.service.value()},
+                                    {"kind", row.kind.value()},
+                                    {"minute", row.minute},
+                                    {"total", row.counts.total},
+                                    {"good", row.counts.good},
+                                    {"spent", spent},
+                                    {"latency", latency}});
+    }
+    json::object const body{
+        {"host", settings_.name.value()}, {"region", settings_.region.value()}, {"rows", rows}};
+    return json_response(200, json::serialize(body));
+}
+
+http_response entry_node::metrics() const
+{
+    std::ostringstream out;
+    auto const line = [&](char const* name, std::uint64_t value)
+    { out << "guavashed_entry_" << name << " " << value << "\n"; };
+    entry_counters const& counters = core_->counters();
+    line("requests_total", counters.requests);
+    line("answers_total", counters.answers);
+    line("not_run_total", counters.not_run);
+    line("unknown_total", counters.unknown);
+    line("retries_total", counters.retries);
+    line("forwards_total", counters.forwards);
+    line("claims_total", counters.claims);
+    line("refused_late_total", counters.refused_late);
+    line("cancelled_total", counters.cancelled);
+    line("silent_attempts_total", counters.silent_attempts);
+    line("lookups_total", front_->counters().lookups);
+    line("bad_requests_total", front_->counters().bad_requests);
+    line("ring_full_total", front_->counters().ring_full);
+    line("version", core_->config().version.value());
+    line("control_switches_total", hub_->counters().control_switches);
+    line("control_bytes_total", hub_->counters().control_bytes);
+    line("hub_bad_frames_total", hub_->counters().bad_frames);
+    line("hub_events_dropped_total", hub_->counters().events_dropped);
+    line("blocks_moved_total", table_moves_);
+    out << latency_.print();
+    return http_response{200, {{"Content-Type", "text/plain; version=0.0.4"}}, out.str()};
+}
+
+} // namespace guavashed
--- /dev/null
+++ b/src/entry_node.hpp
@@ -0,0 +1,102 @@
+/// \file
+/// Defines entry_node, the entry role: joins the decisions with the duties that do I/O.
+#pragma once
+
+#include "entry_core.hpp"
+#include "entry_front.hpp"
+#include "latency_meter.hpp"
+#include "operator_port.hpp"
+#include "peer_hub.hpp"
+#include "upstream_sender.hpp"
+
+#include <boost/asio/steady_timer.hpp>
+#include <memory>
+#include <optional>
+
+namespace guavashed
+{
+
+/// Thread safety: construct, `start`, `leave` and `stop` from the main thread; `submit` from the
+/// operator duty; all else runs on its duties.
+class entry_node
+{
+public:
+    explicit entry_node(daemon_settings const& settings);
+    ~entry_node();
+
+    result<void> start();
+    bool submit(operator_request request);
+    /// Graceful shutdown: look-ups stop naming this host, upstreams move, what is held is finished.
+    /// Returns true when nothing was left unfinished by `until`.
+    bool leave(instant until);
+    void stop();
+
+private:
+    /// What the I/O keeps for a request until its answer.
+    struct held_request
+    {
+        std::shared_ptr<http_exchange> exchange;
+        frame_session_ptr origin;
+        request_id origin_id;
+        forward_request content;
+        rank importance = rank::normal;
+        instant arrived;
+    };
+
+    /// What the steering duty needs for a new table.
+    struct table_order
+    {
+        configuration config;
+        fleet_view view;
+    };
+
+    void on_front(front_event&& event);
+    void on_call(front_call&& call);
+    void on_hub(hub_event&& event);
+    void on_forwarded_request(hub_request&& item);
+    void on_configuration(configuration_push&& push);
+    void on_operator(operator_request&& item);
+    void schedule_tick();
+    void tick(instant now);
+    void run_actions(instant now);
+    void run(instant now, entry_action&& action);
+    void send(instant now, send_upstream&& order);
+    void forward(send_forward&& order);
+    void answer(instant now, give_answer&& reply);
+    void publish(instant now);
+    void rebuild_table();
+    host_row full_row(instant now) const;
+    http_response status(instant now) const;
+    http_response explain(std::string const& subject) const;
+    http_response burn() const;
+    http_response metrics() const;
+
+    daemon_settings settings_;
+    std::optional<chart> upstream_rules_;
+    std::unique_ptr<entry_core> core_;
+    steering_table table_;
+    latency_meter latency_;
+    duty decision_;
+    duty steering_;
+    duty caller_;
+    boost::asio::steady_timer timer_;
+    ring<front_event> front_ring_;
+    ring<operator_request> operator_ring_;
+    ring<table_order> table_ring_;
+    std::unique_ptr<entry_front> front_;
+    std::unique_ptr<http_server> server_;
+    std::unique_ptr<upstream_sender> sender_;
+    std::unique_ptr<peer_hub> hub_;
+    std::unordered_map<request_id, held_request> held_;
+    incarnation life_;
+    bool configured_ = false;
+    bool leaving_ = false;
+    instant lease_until_;
+    instant next_publish_;
+    config_version published_;
+    std::uint64_t forwarded_ids_;
+    std::atomic<std::uint64_t> table_moves_{0};
+    std::atomic<bool> table_built_{false};
+};
+
+} // namespace guavashed
--- /dev/null
+++ b/src/fleet_view.cpp
@@ -0,0 +1,80 @@
+#include "fleet_view.hpp"
+
+#include <algorithm>
+#include <xxhash.h>
+
+namespace guavashed
+{
+
+bool fleet_view::put(host_row const& row)
+{
+    auto const at = std::lower_bound(rows_.begin(), rows_.end(), row.host,
+                                     [](host_row const& item, host_name const& host)
+                                     { return item.host < host; });
+    if (at == rows_.end() || at->host != row.host)
+    {
+        rows_.insert(at, row);
+        return true;
+    }
+    if (row.life < at->life)
+        return false;
+    bool const structural = at->phase != row.phase || at->caller_endpoint != row.caller_endpoint ||
+                            at->domain != row.domain;
+    *at = row;
+    return structural;
+}
+
+bool fleet_view::apply(view_push const& push)
+{
+    bool changed = false;
+    if (push.whole)
+    {
+        changed = std::erase_if(rows_,
+                                [&](host_row const& row)
+                                {
+                                    return std::none_of(push.changed.begin(), push.changed.end(),
+                                                        [&](host_row const& item)
+                                                        { return item.host == row.host; });
+                                }) > 0;
+    }
+    for (auto const& host : push.gone)
+        changed = std::erase_if(rows_, [&](host_row const& row) { return row.host == host; }) > 0 ||
+                  changed;
+    for (auto const& row : push.changed)
+        changed = put(row) || changed;
+    return changed;
+}
+
+host_row const* fleet_view::find(host_name const& host) const
+{
+    auto const at = std::lower_bound(rows_.begin(), rows_.end(), host,
+                                     [](host_row const& item, host_name const& name)
+                                     { return item.host < name; });
+    return at != rows_.end() && at->host == host ? &*at : nullptr;
+}
+
+service_load const* find_load(host_row const& row, service_name const& service)
+{
+    for (auto const& load : row.services)
+        if (load.service == service)
+            return &load;
+    return nullptr;
+}
+
+std::uint64_t stable_hash(std::string_view text, std::uint64_t seed)
+{
+    return XXH3_64bits_withSeed(text.data(), text.size(), seed);
+}
+
+std::uint64_t mix_hash(std::uint64_t left, std::uint64_t right)
+{
+    std::uint64_t x = left ^ (right * 0x9e3779b97f4a7c15ULL);
+    x ^= x >> 32;
+    x *= 0xd6e8feb86659fd93ULL;
+    x ^= x >> 32;
+    x *= 0xd6e8feb86659fd93ULL;
+    x ^= x >> 32;
+    return x;
+}
+
+} // namespace guavashed
--- /dev/null
+++ b/src/http_message.hpp
@@ -0,0 +1,48 @@
+/// \file
+/// Defines HTTP requests and responses as plain values, so that Beast stays in two source files.
+#pragma once
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace guavashed
+{
+
+struct http_field
+{
+    std::string name;
+    std::string value;
+};
+
+struct http_request
+{
+    std::string method = "GET";
+    std::string target = "/";
+    std::vector<http_field> fields;
+    std::string body;
+
+    /// Value of the first field of that name, any case; empty when absent. Thread safe.
+    std::string_view field(std::string_view name) const;
+};
+
+struct http_response
+{
+    unsigned status = 200;
+    std::vector<http_field> fields;
+    std::string body;
+
+    /// Value of the first field of that name, any case; empty when absent. Thread safe.
+    std::string_view field(std::string_view name) const;
+};
+
+/// A JSON response. Thread safe.
+http_response json_response(unsigned status, std::string body);
+
+/// Value of `name` in the target's query, empty when absent; percent escapes are decoded.
+std::string query_value(std::string_view target, std::string_view name);
+
+/// The target without its query. Thread safe.
+std::string_view path_of(std::string_view target);
+
+} // namespace guavashed
--- /dev/null
+++ b/src/http_server.hpp
@@ -0,0 +1,73 @@
+/// \file
+/// Defines http_server, which hands each HTTP/1.1 request to a handler and sends its one answer.
+#pragma once
+
+#include "duty.hpp"
+#include "error.hpp"
+#include "http_message.hpp"
+#include "ids.hpp"
+
+#include <atomic>
+#include <memory>
+
+namespace guavashed
+{
+
+/// One request that awaits its answer.
+class http_exchange
+{
+public:
+    virtual ~http_exchange() = default;
+    /// Sends the answer; a second call is ignored. Thread safe.
+    virtual void respond(http_response response) = 0;
+    /// True once the caller has closed its connection. Thread safe.
+    virtual bool abandoned() const = 0;
+    /// Sets what runs on the server's duty when the caller goes before its answer.
+    /// Precondition: called from `http_handler::on_request`.
+    virtual void when_abandoned(std::function<void()> action) = 0;
+};
+
+/// Receives requests; implemented by each port's owner.
+class http_handler
+{
+public:
+    virtual ~http_handler() = default;
+    /// Runs on the server's duty; must not block.
+    virtual void on_request(http_request request, std::shared_ptr<http_exchange> exchange) = 0;
+};
+
+struct http_server_limits
+{
+    std::size_t max_header_bytes = 16 * 1024;
+    std::size_t max_body_bytes = 256 * 1024;
+    std::size_t max_connections = 4096;
+};
+
+struct http_server_counters
+{
+    std::atomic<std::uint64_t> accepted{0};
+    std::atomic<std::uint64_t> refused_connections{0};
+    std::atomic<std::uint64_t> bad_requests{0};
+    std::atomic<std::uint64_t> open{0};
+};
+
+class http_server
+{
+public:
+    /// Preconditions: `owner` and `handler` outlive the server.
+    http_server(duty& owner, http_handler& handler, http_server_limits limits);
+    ~http_server();
+
+    /// Binds and starts accepting. Call once, from any thread before traffic starts.
+    result<void> listen(endpoint_text const& where);
+    /// Stops accepting new connections; open ones go on with "Connection: close". Thread safe.
+    void close();
+    /// Thread safe.
+    http_server_counters const& counters() const;
+
+private:
+    class implementation;
+    std::shared_ptr<implementation> implementation_;
+};
+
+} // namespace guavashed
--- /dev/null
+++ b/src/operator_client.cpp
@@ -0,0 +1,88 @@
+#include "operator_client.hpp"
+
+#include <boost/json.hpp>
+#include <future>
+
+namespace guavashed
+{
+namespace json = boost::json;
+
+namespace
+{
+
+constexpr std::chrono::seconds call_limit{6};
+constexpr std::chrono::seconds whole_limit{20};
+constexpr milliseconds pause{100};
+constexpr unsigned misdirected = 421;
+
+/// The leader's operator port, when a control host that does not lead names it.
+std::optional<endpoint_text> leader_of(http_response const& response)
+{
+    boost::system::error_code code;
+    json::value const body = json::parse(response.body, code);
+    if (code || !body.is_object())
+        return std::nullopt;
+    auto const* leader = body.get_object().if_contains("leader_operator");
+    if (leader == nullptr || !leader->is_string() || leader->get_string().empty())
+        return std::nullopt;
+    return endpoint_text(std::string(leader->get_string()));
+}
+
+} // namespace
+
+operator_client::operator_client(std::vector<endpoint_text> control, std::string key)
+    : control_(std::move(control)), key_(std::move(key)), duty_("client"), client_(duty_)
+{
+}
+
+result<http_response> operator_client::ask(endpoint_text const& where, std::string const& method,
+                                           std::string const& path, std::string const& body)
+{
+    auto promise = std::make_shared<std::promise<http_outcome>>();
+    auto answer = promise->get_future();
+    http_call call;
+    call.endpoint = where;
+    call.deadline = instant::clock::now() + call_limit;
+    call.request.method = method;
+    call.request.target = path;
+    call.request.body = body;
+    call.request.fields = {{"Authorization", "Bearer " + key_}};
+    boost::asio::post(duty_.context(),
+                      [this, call = std::move(call), promise]() mutable
+                      {
+                          client_.start(std::move(call), [promise](http_outcome outcome)
+                                        { promise->set_value(std::move(outcome)); });
+                      });
+    http_outcome outcome = answer.get();
+    if (!outcome.response)
+        return outcome.cause;
+    return std::move(*outcome.response);
+}
+
+result<http_response> operator_client::ask_control(std::string const& method,
+                                                   std::string const& path, std::string const& body)
+{
+    instant const until = instant::clock::now() + whole_limit;
+    error last = fail(error_code::unavailable, "ask control", "", "no control host is listed");
+    std::size_t next = 0;
+    std::optional<endpoint_text> leader;
+    while (!control_.empty() && instant::clock::now() < until)
+    {
+        endpoint_text const where = leader ? *leader : control_[next++ % control_.size()];
+        leader.reset();
+        auto answer = ask(where, method, path, body);
+        if (answer && answer.value().status != misdirected && answer.value().status < 500)
+            return answer;
+        if (answer)
+        {
+            leader = leader_of(answer.value());
+            last = fail(error_code::not_leader, "ask control", where.value(), answer.value().body);
+        }
+        else
+            last = answer.error();
+        std::this_thread::sleep_for(pause);
+    }
+    return last;
+}
+
+} // namespace guavashed
--- /dev/null
+++ b/src/operator_port.cpp
@@ -0,0 +1,83 @@
+#include "operator_port.hpp"
+
+#include "frame_link.hpp"
+
+#include <boost/json.hpp>
+
+namespace guavashed
+{
+namespace
+{
+
+constexpr std::string_view bearer = "Bearer ";
+
+bool is_open_path(std::string_view path)
+{
+    return path == "/metrics" || path == "/healthz";
+}
+
+} // namespace
+
+class operator_port::handler : public http_handler
+{
+public:
+    handler(std::string key, sinks to) : key_(std::move(key)), to_(std::move(to)) {}
+
+    void on_request(http_request request, std::shared_ptr<http_exchange> exchange) override
+    {
+        std::string_view const path = path_of(request.target);
+        if (!is_open_path(path) && !authorized(request))
+            return exchange->respond(
+                error_response(401, fail(error_code::unauthorized, "operator request", "",
+                                         "the operator key is missing or wrong")));
+        bool const for_entry = to_.entry && (path.starts_with("/v1/entry/") || !to_.control);
+        auto const& sink = for_entry ? to_.entry : to_.control;
+        auto const keep = exchange;
+        if (!sink({std::move(request), std::move(exchange)}))
+            keep->respond(error_response(503, fail(error_code::overloaded, "operator request", "",
+                                                   "too many operator requests wait")));
+    }
+
+private:
+    bool authorized(http_request const& request) const
+    {
+        std::string_view const given = request.field("Authorization");
+        return given.starts_with(bearer) &&
+               equal_in_constant_time(given.substr(bearer.size()), key_);
+    }
+
+    std::string key_;
+    sinks to_;
+};
+
+operator_port::operator_port(std::string key, sinks to)
+    : handler_(std::make_unique<handler>(std::move(key), std::move(to))), duty_("operator"),
+      server_(duty_, *handler_, {})
+{
+}
+
+operator_port::~operator_port()
+{
+    stop();
+}
+
+result<void> operator_port::listen(endpoint_text const& where)
+{
+    return server_.listen(where);
+}
+
+void operator_port::stop()
+{
+    duty_.stop();
+}
+
+http_response error_response(unsigned status, error const& failure)
+{
+    boost::json::object const body{{"error", to_string(failure.code)},
+                                   {"step", failure.step},
+                                   {"peer", failure.peer},
+                                   {"detail", failure.detail}};
+    return json_response(status, boost::json::serialize(body));
+}
+
+} // namespace guavashed
--- /dev/null
+++ b/src/peer_hub.cpp
@@ -0,0 +1,361 @@
+#include "peer_hub.hpp"
+
+#include "codec.hpp"
+#include "fleet_view.hpp"
+#include "log.hpp"
+
+#include <algorithm>
+
+namespace guavashed
+{
+namespace
+{
+
+constexpr std::size_t ring_capacity = 16'384;
+constexpr milliseconds tick_interval{10};
+constexpr milliseconds presence_interval{500};
+/// A control host that has not confirmed the configuration for this long is left for another.
+constexpr milliseconds control_patience{1500};
+/// Sessions with other entry hosts are opened ahead of need up to this fleet size.
+constexpr std::size_t max_open_ahead = 64;
+
+} // namespace
+
+peer_hub::peer_hub(daemon_settings const& settings, duty& decision, on_event events)
+    : settings_(settings), events_(decision, ring_capacity, std::move(events)), thread_("peer"),
+      orders_(thread_, ring_capacity, [this](hub_order&& order) { on_order(std::move(order)); }),
+      timer_(thread_.context())
+{
+    // Control hosts of the own region first, the rest by rendezvous hashing on this host's name.
+    std::uint64_t const self = stable_hash(settings_.name.value());
+    for (auto const& item : settings_.controls)
+        control_order_.push_back(item.host);
+    auto const far = [&](host_name const& host)
+    {
+        auto const at = std::find_if(settings_.controls.begin(), settings_.controls.end(),
+                                     [&](control_host const& item) { return item.host == host; });
+        return at->region != settings_.region;
+    };
+    std::sort(control_order_.begin(), control_order_.end(),
+              [&](host_name const& a, host_name const& b)
+              {
+                  if (far(a) != far(b))
+                      return far(b);
+                  return mix_hash(stable_hash(a.value()), self) <
+                         mix_hash(stable_hash(b.value()), self);
+              });
+}
+
+peer_hub::~peer_hub()
+{
+    stop();
+}
+
+result<void> peer_hub::start()
+{
+    frame_identity const identity{settings_.name.value(), settings_.cluster_key};
+    server_ = std::make_unique<frame_server>(thread_, *this, identity);
+    BOOST_OUTCOME_TRY(server_->listen(settings_.peer_listen));
+    for (auto const& item : settings_.controls)
+        controls_[item.host] =
+            std::make_unique<frame_client>(thread_, *this, identity, item.peer_endpoint);
+    boost::asio::post(thread_.context(),
+                      [this]
+                      {
+                          for (auto& [host, link] : controls_)
+                              link->start();
+                          schedule_tick();
+                      });
+    return boost::outcome_v2::success();
+}
+
+bool peer_hub::push(hub_order order)
+{
+    return orders_.push(std::move(order));
+}
+
+void peer_hub::stop()
+{
+    thread_.stop();
+}
+
+void peer_hub::emit(hub_event event)
+{
+    if (!events_.push(std::move(event)))
+        ++counters_.events_dropped;
+}
+
+void peer_hub::on_order(hub_order&& order)
+{
+    if (auto* begin = std::get_if<start_claim>(&order))
+        return claim(std::move(*begin));
+    if (auto const* record_order = std::get_if<record_claim>(&order))
+        return record(*record_order);
+    if (auto* onward = std::get_if<hub_forward>(&order))
+        return forward(std::move(*onward));
+    if (auto const* cancel = std::get_if<cancel_forward>(&order))
+    {
+        forwards_.erase(cancel->id);
+        if (frame_client* link = link_to(cancel->host))
+            link->send(frame_type::forward_cancel, encode(forward_cancel{cancel->id}));
+        return;
+    }
+    if (auto const* reply = std::get_if<hub_reply>(&order))
+    {
+        reply->to->send(frame_type::forward_reply, encode(reply->reply));
+        return;
+    }
+    if (auto* presence = std::get_if<hub_presence>(&order))
+    {
+        bool const urgent = !presence_ || presence_->phase != presence->row.phase ||
+                            presence_->version != presence->row.version;
+        presence_ = std::move(presence->row);
+        if (urgent)
+            send_presence();
+        return;
+    }
+    learn_neighbours(std::get<hub_neighbours>(order));
+}
+
+void peer_hub::schedule_tick()
+{
+    timer_.expires_after(tick_interval);
+    timer_.async_wait(
+        [this](boost::system::error_code code)
+        {
+            if (code)
+                return;
+            tick(instant::clock::now());
+            schedule_tick();
+        });
+}
+
+void peer_hub::tick(instant now)
+{
+    choose_control(now);
+    if (now >= next_presence_)
+        send_presence();
+    std::vector<attempt_id> late;
+    for (auto const& [attempt, item] : rounds_)
+        if (item.order.deadline <= now)
+            late.push_back(attempt);
+    for (auto const attempt : late)
+        finish_claim(attempt, rounds_.at(attempt).round.close());
+}
+
+void peer_hub::choose_control(instant now)
+{
+    if (control_deadline_ == instant())
+        control_deadline_ = now + control_patience;
+    if (now < control_deadline_ || control_order_.size() < 2)
+        return;
+    control_ = (control_ + 1) % control_order_.size();
+    control_deadline_ = now + control_patience;
+    ++counters_.control_switches;
+    log_change(log_level::info, "control_switch", "to=" + control_order_[control_].value());
+    send_presence();
+}
+
+void peer_hub::send_presence()
+{
+    next_presence_ = instant::clock::now() + presence_interval;
+    if (!presence_)
+        return;
+    std::string bytes = encode(*presence_);
+    counters_.control_bytes += bytes.size();
+    controls_.at(control_order_[control_])->send(frame_type::presence, std::move(bytes));
+}
+
+frame_client* peer_hub::link_to(host_name const& host)
+{
+    auto const at = entries_.find(host);
+    return at == entries_.end() ? nullptr : at->second.get();
+}
+
+void peer_hub::claim(start_claim&& order)
+{
+    attempt_id const attempt = order.claim.attempt;
+    std::string const bytes = encode(order.claim);
+    auto const [at, added] =
+        rounds_.emplace(attempt, open_round{claim_round(order.recorders.size()), order});
+    std::optional<claim_verdict> verdict;
+    for (auto const& recorder : order.recorders)
+    {
+        auto const link = controls_.find(recorder);
+        if (link == controls_.end() || !link->second->send(frame_type::claim, bytes))
+            verdict = at->second.round.miss(recorder);
+    }
+    if (verdict)
+        finish_claim(attempt, *verdict);
+}
+
+void peer_hub::finish_claim(attempt_id attempt, claim_verdict verdict)
+{
+    auto const at = rounds_.find(attempt);
+    if (at == rounds_.end())
+        return;
+    hub_claim done{at->second.order.id, verdict, {}};
+    if (verdict == claim_verdict::settled)
+        done.answer = at->second.round.answer();
+    rounds_.erase(at);
+    emit(std::move(done));
+}
+
+void peer_hub::on_claim_reply(frame_session_ptr const& session, claim_reply const& reply)
+{
+    if (reply.step != claim_step::claim)
+        return;
+    auto const at = rounds_.find(reply.attempt);
+    if (at == rounds_.end())
+        return;
+    if (auto const verdict = at->second.round.vote(host_name(session->peer()), reply))
+        finish_claim(reply.attempt, *verdict);
+}
+
+void peer_hub::record(record_claim const& order)
+{
+    std::string const bytes = encode(order.claim);
+    for (auto const& recorder : order.recorders)
+    {
+        auto const link = controls_.find(recorder);
+        if (link != controls_.end())
+            link->second->send(frame_type::claim, bytes);
+    }
+}
+
+void peer_hub::forward(hub_forward&& order)
+{
+    frame_client* link = link_to(order.order.host);
+    if (link == nullptr)
+    {
+        auto fresh = std::make_unique<frame_client>(
+            thread_, *this, frame_identity{settings_.name.value(), settings_.cluster_key},
+            order.order.peer_endpoint);
+        fresh->start();
+        entries_[order.order.host] = std::move(fresh);
+    }
+    else if (link->send(frame_type::forward, encode(order.request)))
+    {
+        forwards_[order.order.id] = order.order.host;
+        return;
+    }
+    forward_reply reply;
+    reply.id = order.order.id;
+    reply.outcome = outcome_kind::not_run;
+    reply.cause = burn_cause::link;
+    reply.reason = "no session with entry host " + order.order.host.value();
+    emit(hub_forwarded{std::move(reply), false});
+}
+
+void peer_hub::fail_forwards_to(host_name const& host)
+{
+    std::vector<request_id> lost;
+    for (auto const& [id, to] : forwards_)
+        if (to == host)
+            lost.push_back(id);
+    for (auto const id : lost)
+    {
+        forwards_.erase(id);
+        forward_reply reply;
+        reply.id = id;
+        reply.outcome = outcome_kind::unknown;
+        reply.cause = burn_cause::link;
+        reply.reason = "the session with entry host " + host.value() + " was lost";
+        emit(hub_forwarded{std::move(reply), true});
+    }
+}
+
+void peer_hub::learn_neighbours(hub_neighbours const& neighbours)
+{
+    std::erase_if(entries_,
+                  [&](auto& item)
+                  {
+                      auto const at =
+                          std::find_if(neighbours.rows.begin(), neighbours.rows.end(),
+                                       [&](host_row const& row) { return row.host == item.first; });
+                      bool const stays = at != neighbours.rows.end() &&
+                                         at->peer_endpoint == item.second->endpoint();
+                      if (!stays)
+                          item.second->stop();
+                      return !stays;
+                  });
+    if (neighbours.rows.size() > max_open_ahead)
+        return;
+    for (auto const& row : neighbours.rows)
+    {
+        if (row.host == settings_.name || entries_.contains(row.host))
+            continue;
+        auto link = std::make_unique<frame_client>(
+            thread_, *this, frame_identity{settings_.name.value(), settings_.cluster_key},
+            row.peer_endpoint);
+        link->start();
+        entries_[row.host] = std::move(link);
+    }
+}
+
+void peer_hub::on_open(frame_session_ptr const& session)
+{
+    if (session->peer() == control_order_[control_].value())
+        send_presence();
+}
+
+void peer_hub::on_close(frame_session_ptr const& session)
+{
+    host_name const host(session->peer());
+    frame_client const* link = link_to(host);
+    if (link != nullptr && link->owns(*session))
+        fail_forwards_to(host);
+}
+
+void peer_hub::on_frame(frame_session_ptr const& session, frame&& item)
+{
+    std::string const& peer = session->peer();
+    switch (item.type)
+    {
+    case frame_type::configuration:
+        counters_.control_bytes += item.payload.size();
+        if (auto push = decode<configuration_push>(item.payload, peer))
+        {
+            if (peer == control_order_[control_].value())
+                control_deadline_ = instant::clock::now() + control_patience;
+            return emit(std::move(push).value());
+        }
+        break;
+    case frame_type::view:
+        counters_.control_bytes += item.payload.size();
+        if (auto push = decode<view_push>(item.payload, peer))
+        {
+            if (peer == control_order_[control_].value())
+                emit(std::move(push).value());
+            return;
+        }
+        break;
+    case frame_type::claim_reply:
+        if (auto reply = decode<claim_reply>(item.payload, peer))
+            return on_claim_reply(session, reply.value());
+        break;
+    case frame_type::forward:
+        if (auto request = decode<forward_request>(item.payload, peer))
+            return emit(hub_request{std::move(request).value(), session});
+        break;
+    case frame_type::forward_reply:
+        if (auto reply = decode<forward_reply>(item.payload, peer))
+        {
+            if (forwards_.erase(reply.value().id) > 0)
+                emit(hub_forwarded{std::move(reply).value(), true});
+            return;
+        }
+        break;
+    case frame_type::forward_cancel:
+        if (auto cancel = decode<forward_cancel>(item.payload, peer))
+            return emit(hub_cancel{cancel.value().id, session});
+        break;
+    default:
+        break;
+    }
+    ++counters_.bad_frames;
+    log_change(log_level::warning, "bad_frame", "peer=" + peer);
+    session->close();
+}
+
+} // namespace guavashed
--- /dev/null
+++ b/src/presence_table.hpp
@@ -0,0 +1,53 @@
+/// \file
+/// Defines presence_table, the entry hosts that a control host knows to be present.
+#pragma once
+
+#include "fleet_messages.hpp"
+#include "instant.hpp"
+
+#include <map>
+#include <vector>
+
+namespace guavashed
+{
+
+/// Rows are leased: a row that is not renewed until its deadline is gone. A higher incarnation
+/// voids a lower one's rows. A host that restarts too often is held back for a while, so that
+/// callers and upstreams are not sent to and fro. Thread safety: none.
+class presence_table
+{
+public:
+    /// Takes a host's row, from its own session or as another control host passes it on. False when
+    /// the row is void: an older life, or a host that is held back.
+    bool renew(instant now, host_row const& row, instant lease_until);
+    /// Drops rows whose lease has ended; returns their hosts.
+    std::vector<host_name> expire(instant now);
+    /// What has changed since `since`, for a push; `since` is moved on.
+    view_push changes_since(std::uint64_t& since) const;
+    /// Rows that are present.
+    std::vector<host_row> rows() const;
+    host_row const* find(host_name const& host) const;
+    /// When the host was last present; the clock's start when never.
+    instant last_seen(host_name const& host) const;
+
+private:
+    struct entry
+    {
+        host_row row;
+        instant lease_until;
+        instant seen;
+        /// Change counter at the row's last change.
+        std::uint64_t changed = 0;
+        bool present = false;
+        instant life_started;
+        std::uint32_t short_lives = 0;
+        instant held_back_until;
+    };
+
+    void count_life(instant now, entry& item);
+
+    std::map<host_name, entry> entries_;
+    std::uint64_t changes_ = 0;
+};
+
+} // namespace guavashed
--- /dev/null
+++ b/src/raft_messages.hpp
@@ -0,0 +1,155 @@
+/// \file
+/// Defines the entries, members and messages of the replicated log.
+#pragma once
+
+#include "ids.hpp"
+
+#include <cereal/types/string.hpp>
+#include <cereal/types/vector.hpp>
+#include <string>
+#include <vector>
+
+namespace guavashed
+{
+
+using log_term = strong_type<struct log_term_tag, std::uint64_t>;
+using log_index = strong_type<struct log_index_tag, std::uint64_t>;
+
+/// A replica: its host and the disk that holds its log. The same host with another disk is another
+/// member, since what the old disk promised is lost.
+struct raft_member
+{
+    host_name host;
+    disk_id disk;
+    /// A learner receives the log but has no vote until it holds it.
+    bool voter = true;
+
+    bool operator==(raft_member const&) const = default;
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(host, disk, voter);
+    }
+};
+
+struct raft_membership
+{
+    static constexpr std::uint16_t wire_version = 1;
+
+    std::vector<raft_member> members;
+
+    /// The member of that host, or null. Thread safe.
+    raft_member const* find(host_name const& host) const;
+    /// Voters whose consent decides. Thread safe.
+    std::size_t quorum() const;
+    std::size_t voters() const;
+
+    bool operator==(raft_membership const&) const = default;
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(members);
+    }
+};
+
+enum class entry_kind : std::uint8_t
+{
+    /// A new leader's first entry: commits what earlier terms left.
+    leader_start = 0,
+    command = 1,
+    membership = 2
+};
+
+struct raft_entry
+{
+    static constexpr std::uint16_t wire_version = 1;
+
+    log_term term;
+    log_index index;
+    entry_kind kind = entry_kind::command;
+    std::string payload;
+
+    bool operator==(raft_entry const&) const = default;
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(term, index, kind, payload);
+    }
+};
+
+/// Term and vote, synced before any message that depends on them.
+struct raft_vote
+{
+    static constexpr std::uint16_t wire_version = 1;
+
+    log_term term;
+    host_name voted_for;
+
+    bool operator==(raft_vote const&) const = default;
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(term, voted_for);
+    }
+};
+
+struct raft_snapshot
+{
+    static constexpr std::uint16_t wire_version = 1;
+
+    log_index index;
+    log_term term;
+    raft_membership membership;
+    std::string state;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(index, term, membership, state);
+    }
+};
+
+enum class raft_message_kind : std::uint8_t
+{
+    pre_vote = 0,
+    pre_vote_reply = 1,
+    vote = 2,
+    vote_reply = 3,
+    append = 4,
+    append_reply = 5,
+    snapshot = 6,
+    timeout_now = 7
+};
+
+/// One message between replicas; fields that a kind does not use stay empty.
+struct raft_message
+{
+    static constexpr std::uint16_t wire_version = 1;
+
+    raft_message_kind kind = raft_message_kind::append;
+    host_name from;
+    disk_id from_disk;
+    host_name to;
+    disk_id to_disk;
+    log_term term;
+    /// Last or previous entry, by kind.
+    log_index index;
+    log_term index_term;
+    log_index commit;
+    bool granted = false;
+    /// Leader's send time in its own clock, echoed in the reply, for its lease.
+    std::int64_t sent_ns = 0;
+    /// Time that the leader's lease still runs, for followers that answer in its stead.
+    std::uint32_t lease_left_ms = 0;
+    std::vector<raft_entry> entries;
+    std::string snapshot;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(kind, from, from_disk, to, to_disk, term, index, index_term, commit, granted,
+                sent_ns, lease_left_ms, entries, snapshot);
+    }
+};
+
+} // namespace guavashed
--- /dev/null
+++ b/src/raft_store.cpp
@@ -0,0 +1,205 @@
+#include "raft_store.hpp"
+
+#include "codec.hpp"
+
+#include <filesystem>
+#include <random>
+
+namespace guavashed
+{
+namespace
+{
+
+/// One record of the log file.
+struct log_record
+{
+    static constexpr std::uint16_t wire_version = 1;
+
+    enum class kind_type : std::uint8_t
+    {
+        entry = 0,
+        truncate = 1,
+        vote = 2
+    };
+    kind_type kind = kind_type::entry;
+    raft_entry entry;
+    log_index from;
+    raft_vote vote;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(kind, entry, from, vote);
+    }
+};
+
+struct disk_identity
+{
+    static constexpr std::uint16_t wire_version = 1;
+
+    disk_id disk;
+    std::int64_t born_ms = 0;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(disk, born_ms);
+    }
+};
+
+std::string log_path(std::string const& folder)
+{
+    return folder + "/log";
+}
+std::string snapshot_path(std::string const& folder)
+{
+    return folder + "/snapshot";
+}
+std::string identity_path(std::string const& folder)
+{
+    return folder + "/identity";
+}
+
+void replay(log_record const& record, raft_restored& out)
+{
+    switch (record.kind)
+    {
+    case log_record::kind_type::vote:
+        out.vote = record.vote;
+        return;
+    case log_record::kind_type::truncate:
+        std::erase_if(out.entries,
+                      [&](raft_entry const& item) { return item.index >= record.from; });
+        return;
+    case log_record::kind_type::entry:
+        if (record.entry.index > out.snapshot.index)
+            out.entries.push_back(record.entry);
+        return;
+    }
+}
+
+result<disk_identity> load_identity(std::string const& folder, bool& fresh)
+{
+    BOOST_OUTCOME_TRY(auto const bytes, read_checked_file(identity_path(folder)));
+    if (!bytes.empty())
+        return decode<disk_identity>(bytes, identity_path(folder));
+    fresh = true;
+    std::random_device device;
+    disk_identity identity;
+    identity.disk = disk_id((std::uint64_t{device()} << 32) | device());
+    identity.born_ms = wall_ms(std::chrono::system_clock::now());
+    BOOST_OUTCOME_TRY(replace_file(identity_path(folder), encode(identity)));
+    return identity;
+}
+
+} // namespace
+
+result<raft_store::opened> raft_store::open(std::string const& folder)
+{
+    std::error_code code;
+    std::filesystem::create_directories(folder, code);
+    if (code)
+        return fail(error_code::io_failure, "create data folder", folder, code.message());
+    opened out;
+    BOOST_OUTCOME_TRY(auto const identity, load_identity(folder, out.fresh));
+    out.disk = identity.disk;
+    out.born = wall_instant(milliseconds(identity.born_ms));
+
+    BOOST_OUTCOME_TRY(auto const snapshot, read_checked_file(snapshot_path(folder)));
+    if (!snapshot.empty())
+    {
+        BOOST_OUTCOME_TRY(out.restored.snapshot,
+                          decode<raft_snapshot>(snapshot, snapshot_path(folder)));
+    }
+    record_scan scan;
+    BOOST_OUTCOME_TRY(auto log, record_file::open(log_path(folder), scan));
+    for (auto const& bytes : scan.records)
+    {
+        BOOST_OUTCOME_TRY(auto const record, decode<log_record>(bytes, log_path(folder)));
+        replay(record, out.restored);
+    }
+    std::uint64_t expected = out.restored.snapshot.index.value();
+    for (auto const& entry : out.restored.entries)
+        if (entry.index.value() != ++expected)
+            return fail(error_code::corrupt_file, "read records", log_path(folder),
+                        "entry " + std::to_string(expected) + " is missing");
+    out.torn_bytes = scan.torn_bytes;
+    out.store = std::make_unique<raft_store>();
+    out.store->folder_ = folder;
+    out.store->log_ = std::move(log);
+    return out;
+}
+
+result<void> raft_store::rewrite_log(std::vector<raft_entry> const& entries)
+{
+    // The vote must be in the new log before the old one goes.
+    record_scan scan;
+    BOOST_OUTCOME_TRY(auto const old, record_file::open(log_path(folder_), scan));
+    raft_restored held;
+    for (auto const& bytes : scan.records)
+    {
+        BOOST_OUTCOME_TRY(auto const record, decode<log_record>(bytes, log_path(folder_)));
+        if (record.kind == log_record::kind_type::vote)
+            held.vote = record.vote;
+    }
+    std::string const next = log_path(folder_) + ".new";
+    std::filesystem::remove(next);
+    record_scan empty;
+    BOOST_OUTCOME_TRY(auto fresh, record_file::open(next, empty));
+    log_record vote;
+    vote.kind = log_record::kind_type::vote;
+    vote.vote = held.vote;
+    BOOST_OUTCOME_TRY(fresh.append(encode(vote)));
+    for (auto const& entry : entries)
+    {
+        log_record record;
+        record.entry = entry;
+        BOOST_OUTCOME_TRY(fresh.append(encode(record)));
+    }
+    BOOST_OUTCOME_TRY(fresh.sync());
+    std::error_code code;
+    std::filesystem::rename(next, log_path(folder_), code);
+    if (code)
+        return fail(error_code::io_failure, "rename", next, code.message());
+    record_scan reread;
+    BOOST_OUTCOME_TRY(log_, record_file::open(log_path(folder_), reread));
+    return boost::outcome_v2::success();
+}
+
+result<void> raft_store::persist(raft_batch const& batch)
+{
+    if (batch.install)
+    {
+        BOOST_OUTCOME_TRY(replace_file(snapshot_path(folder_), encode(*batch.install)));
+        BOOST_OUTCOME_TRY(rewrite_log({}));
+    }
+    if (batch.truncate_from)
+    {
+        log_record record;
+        record.kind = log_record::kind_type::truncate;
+        record.from = *batch.truncate_from;
+        BOOST_OUTCOME_TRY(log_.append(encode(record)));
+    }
+    for (auto const& entry : batch.append)
+    {
+        log_record record;
+        record.entry = entry;
+        BOOST_OUTCOME_TRY(log_.append(encode(record)));
+    }
+    if (batch.vote)
+    {
+        log_record record;
+        record.kind = log_record::kind_type::vote;
+        record.vote = *batch.vote;
+        BOOST_OUTCOME_TRY(log_.append(encode(record)));
+    }
+    return log_.sync();
+}
+
+result<void> raft_store::compact(raft_snapshot const& snapshot, std::vector<raft_entry> const& kept)
+{
+    BOOST_OUTCOME_TRY(replace_file(snapshot_path(folder_), encode(snapshot)));
+    return rewrite_log(kept);
+}
+
+} // namespace guavashed
--- /dev/null
+++ b/src/record_file.cpp
@@ -0,0 +1,222 @@
+#include "record_file.hpp"
+
+#include <cerrno>
+#include <cstring>
+#include <fcntl.h>
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+#include <sys/stat.h>
+#include <unistd.h>
+#include <utility>
+#include <xxhash.h>
+
+namespace guavashed
+{
+namespace
+{
+
+constexpr std::uint32_t max_record_bytes = 64 * 1024 * 1024;
+
+struct record_header
+{
+    std::uint32_t length;
+    std::uint32_t header_check;
+    std::uint64_t checksum;
+};
+static_assert(sizeof(record_header) == 16);
+
+std::uint32_t check_of(std::uint32_t length)
+{
+    return static_cast<std::uint32_t>(XXH3_64bits(&length, sizeof length));
+}
+
+error io_error(std::string step, std::string const& path)
+{
+    return fail(error_code::io_failure, std::move(step), path, std::strerror(errno));
+}
+
+std::string framed(std::string const& record)
+{
+    record_header header{};
+    header.length = static_cast<std::uint32_t>(record.size());
+    header.header_check = check_of(header.length);
+    header.checksum = XXH3_64bits(record.data(), record.size());
+    std::string out(sizeof header, '\0');
+    std::memcpy(out.data(), &header, sizeof header);
+    return out + record;
+}
+
+result<void> write_all(int descriptor, std::string const& bytes, std::string const& path)
+{
+    std::size_t written = 0;
+    while (written < bytes.size())
+    {
+        ssize_t const n = ::write(descriptor, bytes.data() + written, bytes.size() - written);
+        if (n < 0 && errno == EINTR)
+            continue;
+        if (n <= 0)
+            return io_error("write", path);
+        written += static_cast<std::size_t>(n);
+    }
+    return boost::outcome_v2::success();
+}
+
+result<void> sync_folder_of(std::string const& path)
+{
+    std::string const folder = std::filesystem::path(path).parent_path().string();
+    int const descriptor = ::open(folder.empty() ? "." : folder.c_str(), O_RDONLY | O_DIRECTORY);
+    if (descriptor < 0)
+        return io_error("open folder", folder);
+    int const synced = ::fsync(descriptor);
+    ::close(descriptor);
+    if (synced != 0)
+        return io_error("sync folder", folder);
+    return boost::outcome_v2::success();
+}
+
+std::string read_whole(std::string const& path)
+{
+    std::ifstream file(path, std::ios::binary);
+    std::ostringstream out;
+    out << file.rdbuf();
+    return std::move(out).str();
+}
+
+/// Length of the whole record at `offset`, 0 when it is damaged or cut short.
+std::size_t whole_record(std::string const& bytes, std::size_t offset)
+{
+    if (bytes.size() - offset < sizeof(record_header))
+        return 0;
+    record_header header;
+    std::memcpy(&header, bytes.data() + offset, sizeof header);
+    if (header.header_check != check_of(header.length) || header.length > max_record_bytes)
+        return 0;
+    if (bytes.size() - offset - sizeof header < header.length)
+        return 0;
+    char const* const body = bytes.data() + offset + sizeof header;
+    if (XXH3_64bits(body, header.length) != header.checksum)
+        return 0;
+    return sizeof header + header.length;
+}
+
+/// True when a whole record begins anywhere after `offset`: then the damage is not a torn tail.
+bool whole_record_follows(std::string const& bytes, std::size_t offset)
+{
+    for (std::size_t at = offset + 1; at + sizeof(record_header) <= bytes.size(); ++at)
+        if (whole_record(bytes, at) > sizeof(record_header))
+            return true;
+    return false;
+}
+
+} // namespace
+
+record_file::record_file(record_file&& other) noexcept
+{
+    *this = std::move(other);
+}
+
+record_file& record_file::operator=(record_file&& other) noexcept
+{
+    std::swap(path_, other.path_);
+    std::swap(descriptor_, other.descriptor_);
+    std::swap(size_, other.size_);
+    std::swap(failed_, other.failed_);
+    return *this;
+}
+
+record_file::~record_file()
+{
+    if (descriptor_ >= 0)
+        ::close(descriptor_);
+}
+
+result<record_file> record_file::open(std::string const& path, record_scan& found)
+{
+    std::string const bytes = read_whole(path);
+    std::size_t offset = 0;
+    while (offset < bytes.size())
+    {
+        std::size_t const length = whole_record(bytes, offset);
+        if (length == 0)
+            break;
+        found.records.push_back(
+            bytes.substr(offset + sizeof(record_header), length - sizeof(record_header)));
+        offset += length;
+    }
+    if (offset < bytes.size() && whole_record_follows(bytes, offset))
+        return fail(error_code::corrupt_file, "read records", path,
+                    "record at offset " + std::to_string(offset) +
+                        " is damaged and whole records follow it; restore the file or remove the "
+                        "data folder, so that this host rejoins with an empty disk");
+    found.torn_bytes = bytes.size() - offset;
+
+    record_file out;
+    out.path_ = path;
+    out.descriptor_ = ::open(path.c_str(), O_RDWR | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
+    if (out.descriptor_ < 0)
+        return io_error("open", path);
+    if (found.torn_bytes > 0 && ::ftruncate(out.descriptor_, static_cast<off_t>(offset)) != 0)
+        return io_error("cut torn tail", path);
+    if (::fsync(out.descriptor_) != 0)
+        return io_error("sync", path);
+    BOOST_OUTCOME_TRY(sync_folder_of(path));
+    out.size_ = offset;
+    return out;
+}
+
+result<void> record_file::append(std::string const& record)
+{
+    if (failed_)
+        return fail(error_code::io_failure, "append", path_, "an earlier write or sync failed");
+    std::string const bytes = framed(record);
+    auto const written = write_all(descriptor_, bytes, path_);
+    if (!written)
+    {
+        failed_ = true;
+        return written.error();
+    }
+    size_ += bytes.size();
+    return boost::outcome_v2::success();
+}
+
+result<void> record_file::sync()
+{
+    if (failed_)
+        return fail(error_code::io_failure, "sync", path_, "an earlier write or sync failed");
+    if (::fdatasync(descriptor_) != 0)
+    {
+        failed_ = true;
+        return io_error("sync", path_);
+    }
+    return boost::outcome_v2::success();
+}
+
+result<void> replace_file(std::string const& path, std::string const& bytes)
+{
+    std::string const temporary = path + ".new";
+    int const descriptor =
+        ::open(temporary.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0600);
+    if (descriptor < 0)
+        return io_error("create", temporary);
+    auto written = write_all(descriptor, framed(bytes), temporary);
+    if (written && ::fsync(descriptor) != 0)
+        written = io_error("sync", temporary);
+    ::close(descriptor);
+    BOOST_OUTCOME_TRY(written);
+    if (::rename(temporary.c_str(), path.c_str()) != 0)
+        return io_error("rename", path);
+    return sync_folder_of(path);
+}
+
+result<std::string> read_checked_file(std::string const& path)
+{
+    if (!std::filesystem::exists(path))
+        return std::string();
+    std::string const bytes = read_whole(path);
+    if (whole_record(bytes, 0) != bytes.size() || bytes.empty())
+        return fail(error_code::corrupt_file, "read", path, "its checksum does not fit its bytes");
+    return bytes.substr(sizeof(record_header));
+}
+
+} // namespace guavashed
--- /dev/null
+++ b/src/steering_table.cpp
@@ -0,0 +1,189 @@
+#include "steering_table.hpp"
+
+#include "invariant.hpp"
+
+#include <algorithm>
+
+namespace guavashed
+{
+namespace
+{
+
+constexpr std::uint32_t all_shares = 1000;
+constexpr std::uint64_t shift_seed = 0x5348494654ULL;
+
+std::uint32_t region_position(steering_sites const& sites, region_name const& name)
+{
+    auto const at = std::find(sites.regions.begin(), sites.regions.end(), name);
+    return static_cast<std::uint32_t>(at - sites.regions.begin());
+}
+
+std::shared_ptr<steering_sites> make_sites(configuration const& config, fleet_view const& view)
+{
+    auto out = std::make_shared<steering_sites>();
+    for (auto const& region : config.regions)
+    {
+        auto const position = static_cast<std::uint32_t>(out->regions.size());
+        out->regions.push_back(region.name);
+        for (auto const& prefix : region.client_prefixes)
+        {
+            out->prefixes.push_back(prefix);
+            out->prefix_region.push_back(position);
+        }
+        for (auto const& domain : region.failure_domains)
+            out->sites.push_back({domain, position, stable_hash(domain.value()), {}});
+    }
+    GUAVASHED_INVARIANT(out->sites.size() < no_site)
+        << out->sites.size() << " sites do not fit a table word";
+    for (auto const& row : view.rows())
+    {
+        bool const excluded = row.phase != host_phase::serving ||
+                              std::find(config.leaving_hosts.begin(), config.leaving_hosts.end(),
+                                        row.host) != config.leaving_hosts.end();
+        if (excluded)
+            continue;
+        for (auto& site : out->sites)
+            if (site.domain == row.domain)
+                site.hosts.push_back(
+                    {row.host, row.caller_endpoint, stable_hash(row.host.value())});
+    }
+    return out;
+}
+
+/// Region whose hosts the block's callers are steered to first, shifts counted.
+std::uint32_t steered_region(steering_sites const& sites, configuration const& config,
+                             std::size_t block, std::uint32_t near)
+{
+    std::uint32_t draw = static_cast<std::uint32_t>(mix_hash(shift_seed, block) % all_shares);
+    for (auto const& shift : config.shifts)
+    {
+        if (region_position(sites, shift.from) != near)
+            continue;
+        if (draw < shift.current.value())
+            return region_position(sites, shift.to);
+        draw -= shift.current.value();
+    }
+    return near;
+}
+
+} // namespace
+
+steering_table::steering_table(std::size_t blocks)
+    : words_(blocks), sites_(std::make_shared<steering_sites>())
+{
+    GUAVASHED_INVARIANT(blocks > 0) << "a steering table needs blocks";
+    for (auto& word : words_)
+        word.store(~std::uint32_t{0}, std::memory_order_relaxed);
+}
+
+std::uint32_t steering_table::word_for(steering_sites const& sites, configuration const& config,
+                                       std::size_t block) const
+{
+    auto const near = static_cast<std::uint32_t>(block % sites.regions.size());
+    std::uint32_t const first = steered_region(sites, config, block, near);
+    struct scored
+    {
+        std::uint64_t score;
+        std::uint8_t site;
+    };
+    std::array<scored, 256> candidates;
+    std::size_t count = 0;
+    for (std::size_t i = 0; i < sites.sites.size(); ++i)
+    {
+        steering_site const& site = sites.sites[i];
+        if (site.hosts.empty())
+            continue;
+        // Class 0: the steered region; class 1: the near one; class 2: any other.
+        std::uint64_t const place = site.region == first ? 0 : (site.region == near ? 1 : 2);
+        // Within a class by rendezvous hashing, so that a site's coming or going moves only its
+        // own.
+        std::uint64_t const hash = mix_hash(site.hash, block) >> 2;
+        candidates[count++] = {(place << 62) | hash, static_cast<std::uint8_t>(i)};
+    }
+    std::size_t const used = std::min(count, sites_per_block);
+    std::partial_sort(candidates.begin(), candidates.begin() + used, candidates.begin() + count,
+                      [](scored const& a, scored const& b) { return a.score < b.score; });
+    std::uint32_t word = 0;
+    for (std::size_t i = 0; i < sites_per_block; ++i)
+        word |= static_cast<std::uint32_t>(i < used ? candidates[i].site : no_site) << (8 * i);
+    return word;
+}
+
+std::size_t steering_table::rebuild(configuration const& config, fleet_view const& view)
+{
+    auto const sites = make_sites(config, view);
+    if (sites->regions.empty())
+        return 0;
+    {
+        while (lock_.test_and_set(std::memory_order_acquire))
+        {
+        }
+        sites_ = sites;
+        lock_.clear(std::memory_order_release);
+    }
+    std::size_t moved = 0;
+    for (std::size_t block = 0; block < words_.size(); ++block)
+    {
+        std::uint32_t const word = word_for(*sites, config, block);
+        std::uint32_t const old = words_[block].exchange(word, std::memory_order_relaxed);
+        if ((old & 0xff) != (word & 0xff))
+            ++moved;
+    }
+    return moved;
+}
+
+std::shared_ptr<steering_sites const> steering_table::sites() const
+{
+    while (lock_.test_and_set(std::memory_order_acquire))
+    {
+    }
+    auto out = sites_;
+    lock_.clear(std::memory_order_release);
+    return out;
+}
+
+block_index steering_table::block_of(steering_sites const& sites, std::string_view client) const
+{
+    std::size_t longest = 0;
+    std::uint64_t const hash = stable_hash(client);
+    std::size_t const regions = std::max<std::size_t>(1, sites.regions.size());
+    std::size_t region = hash % regions;
+    for (std::size_t i = 0; i < sites.prefixes.size(); ++i)
+        if (sites.prefixes[i].size() > longest && client.starts_with(sites.prefixes[i]))
+        {
+            longest = sites.prefixes[i].size();
+            region = sites.prefix_region[i];
+        }
+    std::size_t const rows = words_.size() / regions;
+    std::size_t const row = (hash >> 16) % std::max<std::size_t>(1, rows);
+    return block_index(static_cast<std::uint32_t>((row * regions + region) % words_.size()));
+}
+
+steering_choice steering_table::choose(steering_sites const& sites, block_index block) const
+{
+    steering_choice out;
+    std::uint32_t const word = words_[block.value()].load(std::memory_order_relaxed);
+    for (std::size_t i = 0; i < sites_per_block; ++i)
+    {
+        std::size_t const position = (word >> (8 * i)) & 0xff;
+        // A word may be newer or older than the sites while a rebuild runs; skip what does not fit.
+        if (position >= sites.sites.size())
+            continue;
+        steering_host const* best = nullptr;
+        std::uint64_t best_score = 0;
+        for (auto const& host : sites.sites[position].hosts)
+        {
+            std::uint64_t const score = mix_hash(host.hash, block.value());
+            if (best == nullptr || score < best_score)
+            {
+                best = &host;
+                best_score = score;
+            }
+        }
+        if (best != nullptr)
+            out.hosts[out.count++] = best;
+    }
+    return out;
+}
+
+} // namespace guavashed
--- /dev/null
+++ b/src/strong_type.hpp
@@ -0,0 +1,56 @@
+/// \file
+/// Defines strong_type, a value that cannot be mixed up with another of the same representation.
+#pragma once
+
+#include <compare>
+#include <functional>
+#include <ostream>
+#include <utility>
+
+namespace guavashed
+{
+
+/// Wraps a `Rep` so that two ids or units of different meaning do not convert into each other.
+///
+/// Example: `using host_name = strong_type<struct host_name_tag, std::string>;`
+/// Thread safety: as `Rep`.
+template <class Tag, class Rep>
+class strong_type
+{
+public:
+    using rep = Rep;
+
+    constexpr strong_type() = default;
+    explicit constexpr strong_type(Rep value) : value_(std::move(value)) {}
+
+    /// The wrapped value. No preconditions; as thread safe as `Rep`.
+    constexpr Rep const& value() const { return value_; }
+
+    friend auto operator<=>(strong_type const&, strong_type const&) = default;
+
+    friend std::ostream& operator<<(std::ostream& out, strong_type const& item)
+    {
+        return out << item.value_;
+    }
+
+    /// Reads or writes the value for cereal. No preconditions; not thread safe.
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(value_);
+    }
+
+private:
+    Rep value_{};
+};
+
+} // namespace guavashed
+
+template <class Tag, class Rep>
+struct std::hash<guavashed::strong_type<Tag, Rep>>
+{
+    std::size_t operator()(guavashed::strong_type<Tag, Rep> const& item) const
+    {
+        return std::hash<Rep>{}(item.value());
+    }
+};
--- /dev/null
+++ b/src/upstream_pool.cpp
@@ -0,0 +1,309 @@
+#include "upstream_pool.hpp"
+
+#include "invariant.hpp"
+#include "log.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace guavashed
+{
+namespace
+{
+
+constexpr double smoothing = 0.05;
+constexpr std::uint32_t failures_to_eject = 5;
+constexpr std::uint32_t answers_per_warm_slot = 3;
+constexpr std::uint32_t max_slots_per_upstream = 100'000;
+constexpr milliseconds first_ejection{1000};
+constexpr std::uint32_t max_ejection_doublings = 5;
+constexpr double patience_deviations = 6.0;
+/// About the 95th percentile of an exponential tail, in mean absolute deviations.
+constexpr double late_deviations = 3.0;
+constexpr microseconds min_patience{250'000};
+
+} // namespace
+
+chart_vocabulary upstream_vocabulary()
+{
+    return {{"fenced", "warming", "serving", "ejected", "silent", "leaving", "moved", "gone"},
+            {"fence_passed", "warmed", "outlier", "ejection_ended", "renewed", "lease_ended",
+             "leave", "hand_over", "emptied", "cold"}};
+}
+
+upstream_pool::upstream_pool(chart const& rules) : rules_(rules) {}
+
+upstream_pool::member* upstream_pool::find(upstream_name const& name)
+{
+    auto const found =
+        std::find_if(members_.begin(), members_.end(),
+                     [&](member const& item) {
+                         return item.said.name == name && item.life.state() != upstream_state::gone;
+                     });
+    return found == members_.end() ? nullptr : &*found;
+}
+
+void upstream_pool::fire(member& item, upstream_event event)
+{
+    if (item.life.fire(event))
+        log_change(log_level::info, "upstream_state",
+                   "upstream=" + item.said.name.value() + " state=" + item.life.name());
+}
+
+void upstream_pool::announce(instant now, upstream_announcement const& said, instant lease_until)
+{
+    member* item = find(said.name);
+    bool const restarted = item != nullptr && item->said.life < said.life;
+    bool const returned = item != nullptr && said.previous_lease_left.count() > 0 &&
+                          item->life.state() != upstream_state::fenced;
+    if (item != nullptr && said.life < item->said.life)
+        return;
+    if (item != nullptr && (restarted || returned))
+    {
+        // Its earlier life or stay is over; what this host still awaits from it is released by
+        // position, so the old row stays until it is empty.
+        fire(*item, upstream_event::hand_over);
+        item = nullptr;
+    }
+    if (item == nullptr)
+        item = &add(now, said);
+    item->said = said;
+    item->said.slots = slot_count(std::min(said.slots.value(), max_slots_per_upstream));
+    item->lease_until = lease_until;
+    apply_announcement(*item, now);
+}
+
+upstream_pool::member& upstream_pool::add(instant now, upstream_announcement const& said)
+{
+    auto const reusable =
+        std::find_if(members_.begin(), members_.end(),
+                     [](member const& old)
+                     { return old.life.state() == upstream_state::gone && old.in_flight == 0; });
+    member fresh{said, chart_state<upstream_state, upstream_event>(rules_), {}, {}, {}};
+    fresh.mean_us = mean_us_;
+    fresh.fence_until = now + said.previous_lease_left;
+    if (reusable != members_.end())
+    {
+        *reusable = std::move(fresh);
+        return *reusable;
+    }
+    members_.push_back(std::move(fresh));
+    return members_.back();
+}
+
+void upstream_pool::apply_announcement(member& item, instant now)
+{
+    if (item.said.leaving)
+        fire(item, upstream_event::leave);
+    if (item.life.state() == upstream_state::fenced && now >= item.fence_until)
+        fire(item, upstream_event::fence_passed);
+    if (item.life.state() == upstream_state::silent)
+    {
+        item.warm_slots = 1;
+        fire(item, upstream_event::renewed);
+    }
+    if (item.said.cold && item.life.state() == upstream_state::serving)
+    {
+        item.warm_slots = 1;
+        fire(item, upstream_event::cold);
+    }
+}
+
+std::uint32_t upstream_pool::allowed_slots(member const& item, instant now) const
+{
+    if (now >= item.lease_until)
+        return 0;
+    switch (item.life.state())
+    {
+    case upstream_state::serving:
+        return item.said.slots.value();
+    case upstream_state::warming:
+        return std::min(item.warm_slots, item.said.slots.value());
+    default:
+        return 0;
+    }
+}
+
+std::uint32_t upstream_pool::free_slots(member const& item, instant now) const
+{
+    std::uint32_t const occupied = item.in_flight + item.said.in_flight_elsewhere.value();
+    std::uint32_t const allowed = allowed_slots(item, now);
+    return allowed > occupied ? allowed - occupied : 0;
+}
+
+std::optional<upstream_pick> upstream_pool::pick(instant now)
+{
+    member* best = nullptr;
+    double best_cost = 0;
+    for (auto& item : members_)
+    {
+        if (free_slots(item, now) == 0)
+            continue;
+        double const load = (item.in_flight + 1.0) / item.said.slots.value();
+        double const cost = load * std::max(1.0, item.mean_us);
+        if (best == nullptr || cost < best_cost)
+        {
+            best = &item;
+            best_cost = cost;
+        }
+    }
+    if (best == nullptr)
+        return std::nullopt;
+    ++best->in_flight;
+    ++in_flight_;
+    GUAVASHED_INVARIANT(best->in_flight + best->said.in_flight_elsewhere.value() <=
+                        best->said.slots.value())
+        << "upstream " << best->said.name << " in state " << best->life.name() << " holds "
+        << best->in_flight << " of " << best->said.slots << " slots";
+    return upstream_pick{static_cast<std::size_t>(best - members_.data()), best->said.endpoint,
+                         best->said.name};
+}
+
+void upstream_pool::release(instant now, std::size_t position, work_ending ending,
+                            microseconds took)
+{
+    GUAVASHED_INVARIANT(position < members_.size() && members_[position].in_flight > 0)
+        << "release of slot at position " << position;
+    member& item = members_[position];
+    --item.in_flight;
+    --in_flight_;
+    switch (ending)
+    {
+    case work_ending::answered:
+        after_answer(item, took);
+        break;
+    case work_ending::failed:
+    case work_ending::shed:
+        after_failure(item, now);
+        break;
+    case work_ending::cancelled:
+        break;
+    }
+}
+
+void upstream_pool::after_answer(member& item, microseconds took)
+{
+    double const us = static_cast<double>(took.count());
+    item.mean_us += smoothing * (us - item.mean_us);
+    deviation_us_ += smoothing * (std::abs(us - mean_us_) - deviation_us_);
+    mean_us_ += smoothing * (us - mean_us_);
+    item.failures_in_row = 0;
+    ++item.served;
+    if (item.life.state() != upstream_state::warming)
+        return;
+    if (++item.warm_answers < answers_per_warm_slot)
+        return;
+    item.warm_answers = 0;
+    if (++item.warm_slots > item.said.slots.value())
+    {
+        item.ejection_count = 0;
+        fire(item, upstream_event::warmed);
+    }
+}
+
+bool upstream_pool::may_eject() const
+{
+    std::size_t working = 0;
+    for (auto const& item : members_)
+        if (item.life.state() == upstream_state::serving ||
+            item.life.state() == upstream_state::warming)
+            ++working;
+    std::size_t ejected = 0;
+    for (auto const& item : members_)
+        if (item.life.state() == upstream_state::ejected)
+            ++ejected;
+    return working > 1 && (ejected + 1) * 2 <= working + ejected;
+}
+
+void upstream_pool::after_failure(member& item, instant now)
+{
+    if (++item.failures_in_row < failures_to_eject || !may_eject())
+        return;
+    item.failures_in_row = 0;
+    item.ejected_until = now + first_ejection * (1U << item.ejection_count);
+    item.ejection_count = std::min(item.ejection_count + 1, max_ejection_doublings);
+    fire(item, upstream_event::outlier);
+}
+
+void upstream_pool::tick(instant now)
+{
+    for (auto& item : members_)
+    {
+        upstream_state const state = item.life.state();
+        if (state == upstream_state::ejected && now >= item.ejected_until)
+        {
+            item.warm_slots = 1;
+            fire(item, upstream_event::ejection_ended);
+        }
+        if (now >= item.lease_until)
+            fire(item, upstream_event::lease_ended);
+        bool const finished = state == upstream_state::leaving || state == upstream_state::moved ||
+                              state == upstream_state::silent;
+        if (finished && item.in_flight == 0 && now >= item.lease_until)
+            fire(item, upstream_event::emptied);
+    }
+}
+
+void upstream_pool::leave(upstream_name const& name)
+{
+    if (member* item = find(name))
+        fire(*item, upstream_event::leave);
+}
+
+void upstream_pool::hand_over(upstream_name const& name)
+{
+    if (member* item = find(name))
+        fire(*item, upstream_event::hand_over);
+}
+
+slot_count upstream_pool::usable_slots(instant now) const
+{
+    std::uint32_t sum = 0;
+    for (auto const& item : members_)
+        sum += allowed_slots(item, now);
+    return slot_count(sum);
+}
+
+bool upstream_pool::has_free_slot(instant now) const
+{
+    return std::any_of(members_.begin(), members_.end(),
+                       [&](member const& item) { return free_slots(item, now) > 0; });
+}
+
+microseconds upstream_pool::late_service() const
+{
+    return microseconds(static_cast<std::int64_t>(mean_us_ + late_deviations * deviation_us_));
+}
+
+microseconds upstream_pool::patience() const
+{
+    auto const us = static_cast<std::int64_t>(mean_us_ * 2 + patience_deviations * deviation_us_);
+    return std::max(min_patience, microseconds(us));
+}
+
+std::vector<upstream_pool::row> upstream_pool::rows() const
+{
+    std::vector<row> out;
+    for (auto const& item : members_)
+        if (item.life.state() != upstream_state::gone)
+            out.push_back({item.said.name, item.life.name(), item.said.region, item.said.slots,
+                           slot_count(item.in_flight),
+                           microseconds(static_cast<std::int64_t>(item.mean_us)), item.served,
+                           item.ejection_count});
+    return out;
+}
+
+std::vector<upstream_name> upstream_pool::renewing() const
+{
+    std::vector<upstream_name> out;
+    for (auto const& item : members_)
+    {
+        upstream_state const state = item.life.state();
+        if (state != upstream_state::gone && state != upstream_state::moved &&
+            state != upstream_state::silent)
+            out.push_back(item.said.name);
+    }
+    return out;
+}
+
+} // namespace guavashed
--- /dev/null
+++ b/src/upstream_sender.hpp
@@ -0,0 +1,61 @@
+/// \file
+/// Defines upstream_sender, the duty that carries work to upstreams and checks their answers.
+#pragma once
+
+#include "duty.hpp"
+#include "entry_messages.hpp"
+#include "http_client.hpp"
+
+#include <unordered_map>
+#include <variant>
+
+namespace guavashed
+{
+
+/// Work to send, with the parts that the decisions do not read.
+struct upstream_work
+{
+    send_upstream order;
+    std::string body;
+    caller_name caller;
+    idempotency_key key;
+};
+
+using sender_order = std::variant<upstream_work, cancel_upstream>;
+
+struct sender_result
+{
+    attempt_id attempt;
+    attempt_result result;
+};
+
+/// Thread safety: `push` from the decision duty only.
+class upstream_sender
+{
+public:
+    using on_result = std::function<void(sender_result&&)>;
+
+    /// `home` names this host and its life to upstreams. Precondition: `decision` outlives this.
+    upstream_sender(duty& decision, std::string home, on_result results);
+
+    /// False when the ring is full: nothing was sent.
+    bool push(sender_order order);
+    void stop();
+
+private:
+    void start(upstream_work&& work);
+    void cancel(attempt_id attempt);
+    void finish(attempt_id attempt, http_outcome outcome);
+
+    std::string home_;
+    ring<sender_result> results_;
+    duty thread_;
+    http_client client_;
+    ring<sender_order> orders_;
+    std::unordered_map<attempt_id, http_call_id> running_;
+};
+
+/// What an HTTP outcome says of an attempt: answered, unstarted, unsent or lost. Thread safe.
+attempt_result judge_answer(http_outcome outcome);
+
+} // namespace guavashed
--- /dev/null
+++ b/standin/arguments.hpp
@@ -0,0 +1,46 @@
+/// \file
+/// Defines the small flag reader of the stand-ins: "--name=value" with a default.
+#pragma once
+
+#include <string>
+#include <vector>
+
+namespace standin
+{
+
+class arguments
+{
+public:
+    arguments(int argc, char** argv) : items_(argv + 1, argv + argc) {}
+
+    std::string text(std::string const& name, std::string const& absent = {}) const
+    {
+        std::string const prefix = "--" + name + "=";
+        for (auto const& item : items_)
+            if (item.starts_with(prefix))
+                return item.substr(prefix.size());
+        return absent;
+    }
+    double number(std::string const& name, double absent) const
+    {
+        std::string const value = text(name);
+        return value.empty() ? absent : std::stod(value);
+    }
+    std::vector<std::string> list(std::string const& name) const
+    {
+        std::vector<std::string> out;
+        std::string rest = text(name);
+        while (!rest.empty())
+        {
+            auto const comma = rest.find(',');
+            out.push_back(rest.substr(0, comma));
+            rest = comma == std::string::npos ? std::string() : rest.substr(comma + 1);
+        }
+        return out;
+    }
+
+private:
+    std::vector<std::string> items_;
+};
+
+} // namespace standin
--- /dev/null
+++ b/standin/upstream.cpp
@@ -0,0 +1,252 @@
+#include "upstream.hpp"
+
+#include <boost/json.hpp>
+
+namespace standin
+{
+namespace json = boost::json;
+using namespace guavashed;
+
+namespace
+{
+
+constexpr milliseconds announce_interval{400};
+constexpr milliseconds announce_limit{700};
+constexpr std::chrono::seconds leaving_grace{2};
+constexpr milliseconds retry_soon{50};
+
+std::string host_of(std::string const& home)
+{
+    return home.substr(0, home.find('/'));
+}
+
+} // namespace
+
+struct upstream::work
+{
+    std::shared_ptr<http_exchange> exchange;
+    std::shared_ptr<boost::asio::steady_timer> timer;
+    std::string request_id;
+    std::string home;
+    std::string key;
+    std::string body;
+    bool done = false;
+};
+
+upstream::upstream(duty& owner, upstream_settings settings)
+    : owner_(owner), settings_(std::move(settings)), server_(owner, *this, {}), client_(owner),
+      timer_(owner.context()), random_(settings_.seed), cold_left_(settings_.cold_work)
+{
+    incarnation_ = static_cast<std::uint64_t>(wall_ms(std::chrono::system_clock::now()));
+    if (!settings_.ledger_path.empty())
+        ledger_.open(settings_.ledger_path, std::ios::app);
+    next_seed_ = settings_.seeds.empty() ? 0 : random_() % settings_.seeds.size();
+}
+
+bool upstream::start()
+{
+    if (!server_.listen(endpoint_text(settings_.address)))
+        return false;
+    boost::asio::post(owner_.context(),
+                      [this]
+                      {
+                          try_elsewhere();
+                          announce();
+                      });
+    return true;
+}
+
+void upstream::leave()
+{
+    leaving_ = true;
+    leaving_since_ = instant::clock::now();
+    announce();
+}
+
+void upstream::try_elsewhere()
+{
+    redirected_ = false;
+    if (settings_.seeds.empty())
+        return;
+    target_ = settings_.seeds[next_seed_++ % settings_.seeds.size()];
+}
+
+void upstream::announce()
+{
+    instant const now = instant::clock::now();
+    unsigned elsewhere = 0;
+    for (auto const& [home, count] : in_flight_by_home_)
+        if (host_of(home) != home_)
+            elsewhere += count;
+    json::object const body{
+        {"name", settings_.name},
+        {"service", settings_.service},
+        {"region", settings_.region},
+        {"failure_domain", settings_.domain},
+        {"address", settings_.address},
+        {"slots", settings_.slots},
+        {"incarnation", incarnation_},
+        {"in_flight_elsewhere", elsewhere},
+        {"previous_lease_left_ms", target_ == home_ ? 0 : remaining_ms(lease_until_, now)},
+        {"cold", cold_left_ > 0},
+        {"leaving", leaving_}};
+    http_call call;
+    call.endpoint = endpoint_text(target_);
+    call.deadline = now + announce_limit;
+    call.request.method = "POST";
+    call.request.target = "/v1/announce";
+    call.request.body = json::serialize(body);
+    if (redirected_)
+        call.request.fields.push_back({"X-Redirected", "1"});
+    client_.start(std::move(call),
+                  [this, to = target_](http_outcome outcome) { on_announced(to, outcome); });
+}
+
+void upstream::schedule_announce()
+{
+    timer_.async_wait(
+        [this](boost::system::error_code code)
+        {
+            if (!code)
+                announce();
+        });
+}
+
+void upstream::on_announced(std::string const& to, http_outcome const& outcome)
+{
+    instant const now = instant::clock::now();
+    timer_.expires_after(retry_soon);
+    boost::system::error_code code;
+    json::value answer;
+    if (outcome.response && outcome.response->status == 200)
+        answer = json::parse(outcome.response->body, code);
+    json::object const* object = answer.is_object() ? &answer.get_object() : nullptr;
+    if (object == nullptr)
+    {
+        try_elsewhere();
+        return schedule_announce();
+    }
+    std::string const home_address(object->at("home_address").as_string());
+    if (object->at("accepted").as_bool())
+    {
+        // The lease began when the home received the announcement, so it ends before this.
+        lease_until_ = now + milliseconds(object->at("lease_ms").to_number<int>());
+        home_ = to;
+        redirected_ = false;
+        timer_.expires_after(announce_interval);
+    }
+    else if (!home_address.empty() && home_address != to)
+    {
+        // A home that hands over sends nothing more from now on.
+        if (to == home_)
+            lease_until_ = now;
+        target_ = home_address;
+        redirected_ = true;
+    }
+    else
+        try_elsewhere();
+    schedule_announce();
+}
+
+double upstream::draw_service_ms()
+{
+    std::exponential_distribution<double> tail(1.0);
+    double const base = settings_.service_ms;
+    double ms = base * (1 - settings_.spread) + base * settings_.spread * tail(random_);
+    if (cold_left_ > 0)
+    {
+        --cold_left_;
+        ms *= settings_.cold_factor;
+    }
+    return ms;
+}
+
+void upstream::on_request(http_request request, std::shared_ptr<http_exchange> exchange)
+{
+    if (request.target == "/stats")
+    {
+        json::object const body{
+            {"name", settings_.name},         {"ran", totals_.ran},
+            {"overruns", totals_.overruns},   {"doubled", totals_.doubled},
+            {"cancelled", totals_.cancelled}, {"shed", totals_.shed},
+            {"late_work", totals_.late_work}, {"max_in_flight", totals_.max_in_flight},
+            {"in_flight", in_flight_}};
+        return exchange->respond(json_response(200, json::serialize(body)));
+    }
+    auto item = std::make_shared<work>();
+    item->exchange = std::move(exchange);
+    item->request_id = std::string(request.field("X-Request-Id"));
+    item->home = std::string(request.field("X-Home"));
+    item->key = std::string(request.field("Idempotency-Key"));
+    item->body = std::move(request.body);
+    if (leaving_ && leaving_since_ + leaving_grace < instant::clock::now())
+        ++totals_.late_work;
+    bool const full = in_flight_ >= settings_.slots;
+    if (full)
+    {
+        ++totals_.overruns;
+        ++totals_.shed;
+        http_response refusal = json_response(503, "{\"error\":\"no free slot\"}");
+        refusal.fields.push_back({"X-Not-Started", "1"});
+        refusal.fields.push_back({"X-Request-Id", item->request_id});
+        return item->exchange->respond(std::move(refusal));
+    }
+    run(std::move(item));
+}
+
+void upstream::run(std::shared_ptr<work> item)
+{
+    ++in_flight_;
+    ++in_flight_by_home_[item->home];
+    totals_.max_in_flight = std::max<std::uint64_t>(totals_.max_in_flight, in_flight_);
+    ++totals_.ran;
+    if (!item->key.empty())
+    {
+        if (++ran_keys_[item->key] > 1)
+            ++totals_.doubled;
+        ledger_ << item->key << "\n" << std::flush;
+    }
+    item->timer = std::make_shared<boost::asio::steady_timer>(owner_.context());
+    item->timer->expires_after(microseconds(static_cast<std::int64_t>(draw_service_ms() * 1000)));
+    item->exchange->when_abandoned(
+        [this, weak = std::weak_ptr<work>(item)]
+        {
+            auto const gone = weak.lock();
+            // Work that must run once is finished though its home has gone; the rest is cancelled.
+            if (!gone || !gone->key.empty() || gone->done)
+                return;
+            ++totals_.cancelled;
+            gone->timer->cancel();
+        });
+    item->timer->async_wait([this, item](boost::system::error_code) { finish(item); });
+}
+
+void upstream::finish(std::shared_ptr<work> const& item)
+{
+    item->done = true;
+    --in_flight_;
+    auto const at = in_flight_by_home_.find(item->home);
+    if (--at->second == 0)
+        in_flight_by_home_.erase(at);
+    json::object const body{{"upstream", settings_.name}, {"echo", item->body}};
+    http_response response = json_response(200, json::serialize(body));
+    response.fields.push_back({"X-Request-Id", item->request_id});
+    std::uniform_real_distribution<double> draw(0, 1);
+    if (settings_.fault_share > 0 && draw(random_) < settings_.fault_share)
+    {
+        switch (random_() % 3)
+        {
+        case 0: // a crossed answer
+            response.fields.back().value = "0";
+            break;
+        case 1: // a silent connection
+            return;
+        default: // refused before it started, as far as the home can tell
+            response.status = 500;
+            break;
+        }
+    }
+    item->exchange->respond(std::move(response));
+}
+
+} // namespace standin
--- /dev/null
+++ b/standin/upstream.hpp
@@ -0,0 +1,103 @@
+/// \file
+/// Defines upstream, a stand-in for the users' services: slots, service times, cold start,
+/// shedding, cancellation, deadlines, and a ledger of what ran.
+#pragma once
+
+#include "http_client.hpp"
+#include "http_server.hpp"
+
+#include <boost/asio/steady_timer.hpp>
+#include <fstream>
+#include <map>
+#include <random>
+#include <unordered_map>
+
+namespace standin
+{
+
+struct upstream_settings
+{
+    std::string name;
+    std::string service;
+    std::string region;
+    std::string domain;
+    std::string address;
+    unsigned slots = 4;
+    double service_ms = 40;
+    /// Share of the service time that varies, exponentially distributed.
+    double spread = 0.5;
+    /// How much dearer work is while caches are cold, and for how many pieces of work.
+    double cold_factor = 1;
+    unsigned cold_work = 0;
+    /// Share of answers that fail in one of the ways of the field, for fault runs.
+    double fault_share = 0;
+    /// Reported load is this many announcements old.
+    std::vector<std::string> seeds;
+    std::string ledger_path;
+    std::uint64_t seed = 1;
+};
+
+struct upstream_totals
+{
+    std::uint64_t ran = 0;
+    std::uint64_t overruns = 0;
+    std::uint64_t doubled = 0;
+    std::uint64_t cancelled = 0;
+    std::uint64_t shed = 0;
+    std::uint64_t late_work = 0;
+    std::uint64_t cut_at_exit = 0;
+    std::uint64_t max_in_flight = 0;
+};
+
+/// Runs on the duty given. Thread safety: the duty's thread only.
+class upstream : public guavashed::http_handler
+{
+public:
+    upstream(guavashed::duty& owner, upstream_settings settings);
+
+    bool start();
+    /// Announces that it is leaving; `finished` tells when nothing is in flight any more.
+    void leave();
+    bool finished() const { return leaving_ && in_flight_ == 0; }
+    upstream_totals totals() const { return totals_; }
+    unsigned in_flight() const { return in_flight_; }
+
+    void on_request(guavashed::http_request request,
+                    std::shared_ptr<guavashed::http_exchange> exchange) override;
+
+private:
+    struct work;
+
+    void announce();
+    void schedule_announce();
+    void on_announced(std::string const& to, guavashed::http_outcome const& outcome);
+    void try_elsewhere();
+    void run(std::shared_ptr<work> item);
+    void finish(std::shared_ptr<work> const& item);
+    double draw_service_ms();
+
+    guavashed::duty& owner_;
+    upstream_settings settings_;
+    guavashed::http_server server_;
+    guavashed::http_client client_;
+    boost::asio::steady_timer timer_;
+    std::mt19937_64 random_;
+    std::ofstream ledger_;
+    std::unordered_map<std::string, unsigned> ran_keys_;
+    std::map<std::string, unsigned> in_flight_by_home_;
+    std::uint64_t incarnation_ = 0;
+    std::string target_;
+    std::string home_;
+    std::vector<std::string> others_;
+    bool redirected_ = false;
+    guavashed::instant lease_until_;
+    guavashed::instant leaving_since_;
+    bool leaving_ = false;
+    bool announced_leaving_ = false;
+    unsigned in_flight_ = 0;
+    unsigned cold_left_ = 0;
+    std::size_t next_seed_ = 0;
+    upstream_totals totals_;
+};
+
+} // namespace standin
--- /dev/null
+++ b/test/fleet/fleet.cpp
@@ -0,0 +1,436 @@
+#include "fleet.hpp"
+
+#include <chrono>
+#include <csignal>
+#include <fcntl.h>
+#include <filesystem>
+#include <fstream>
+#include <iostream>
+#include <set>
+#include <spawn.h>
+#include <sstream>
+#include <sys/wait.h>
+#include <thread>
+#include <unistd.h>
+
+extern char** environ;
+
+namespace fleet_test
+{
+namespace json = boost::json;
+
+namespace
+{
+
+constexpr unsigned control_peer = 0;
+constexpr unsigned control_operator = 50;
+constexpr unsigned entry_caller = 100;
+constexpr unsigned entry_peer = 150;
+constexpr unsigned entry_operator = 200;
+constexpr unsigned upstream_first = 300;
+
+std::string read_file(std::string const& path)
+{
+    std::ifstream file(path);
+    std::ostringstream out;
+    out << file.rdbuf();
+    return out.str();
+}
+
+void pause_ms(int ms)
+{
+    std::this_thread::sleep_for(std::chrono::milliseconds(ms));
+}
+
+} // namespace
+
+fleet::fleet(fleet_options options) : options_(std::move(options))
+{
+    deployment_ = json::parse(read_file(options_.example_folder + "/deployment.json")).as_object();
+    if (options_.base_port == 0)
+        options_.base_port = deployment_.at("base_port").to_number<unsigned>();
+    std::filesystem::remove_all(options_.work_folder);
+    std::filesystem::create_directories(options_.work_folder);
+    std::ofstream(path("cluster.key")) << "cluster-key-for-loopback\n";
+    std::ofstream(path("operator.key")) << "operator-key-for-loopback\n";
+    auto const per_domain = deployment_.at("entries_per_domain").to_number<unsigned>();
+    auto const& regions = deployment_.at("regions").as_array();
+    for (auto const& item : regions)
+    {
+        auto const& region = item.as_object();
+        for (auto const& domain : region.at("domains").as_array())
+        {
+            place const where{std::string(region.at("name").as_string()),
+                              std::string(domain.as_string())};
+            for (unsigned i = 0; i < options_.controls_per_domain; ++i)
+            {
+                control_names_.push_back("c" + std::to_string(control_names_.size()));
+                control_places_.push_back(where);
+            }
+            for (unsigned i = 0; i < per_domain; ++i)
+            {
+                entry_names_.push_back("e" + std::to_string(entry_names_.size()));
+                entry_places_.push_back(where);
+            }
+        }
+    }
+    unsigned first = 0;
+    for (auto const& item : deployment_.at("services").as_array())
+    {
+        auto const& service = item.as_object();
+        auto const count = service.at("upstreams").to_number<unsigned>();
+        std::size_t const domains = control_places_.size() / options_.controls_per_domain;
+        for (std::size_t d = 0; d < domains; ++d)
+        {
+            group out;
+            out.where = control_places_[d * options_.controls_per_domain];
+            out.service = std::string(service.at("name").as_string());
+            out.first = first;
+            out.count = static_cast<unsigned>(count / domains + (d < count % domains ? 1 : 0));
+            out.slots = service.at("slots").to_number<unsigned>();
+            out.service_ms = service.at("service_ms").to_number<double>();
+            first += out.count;
+            group_names_.push_back(out.service + "-" + out.where.domain);
+            groups_.push_back(out);
+        }
+    }
+}
+
+fleet::~fleet()
+{
+    for (auto& [name, item] : processes_)
+        if (!item.ended && item.id > 0)
+        {
+            ::kill(item.id, SIGCONT);
+            ::kill(item.id, SIGKILL);
+            ::waitpid(item.id, nullptr, 0);
+        }
+}
+
+std::string fleet::path(std::string const& file) const
+{
+    return options_.work_folder + "/" + file;
+}
+
+std::string fleet::data_folder(unsigned control) const
+{
+    return path("data-" + control_names_[control]);
+}
+
+std::string fleet::address(unsigned offset) const
+{
+    return "127.0.0.1:" + std::to_string(options_.base_port + offset);
+}
+
+std::string fleet::controls_setting() const
+{
+    std::string out;
+    for (unsigned i = 0; i < controls(); ++i)
+        out += (i == 0 ? "" : ",") + control_names_[i] + "=" + address(control_peer + i) + "/" +
+               control_places_[i].region + "/" + control_places_[i].domain;
+    return out;
+}
+
+std::string fleet::seeds() const
+{
+    std::string out;
+    for (unsigned i = 0; i < entries(); ++i)
+        out += (i == 0 ? "" : ",") + address(entry_caller + i);
+    return out;
+}
+
+void fleet::spawn(std::string const& name, std::string const& binary,
+                  std::vector<std::string> const& arguments)
+{
+    process item;
+    item.output = path(name + ".out");
+    std::vector<std::string> all{binary};
+    all.insert(all.end(), arguments.begin(), arguments.end());
+    std::vector<char*> argv;
+    for (auto& argument : all)
+        argv.push_back(argument.data());
+    argv.push_back(nullptr);
+    posix_spawn_file_actions_t actions;
+    posix_spawn_file_actions_init(&actions);
+    posix_spawn_file_actions_addopen(&actions, 0, "/dev/null", O_RDONLY, 0);
+    posix_spawn_file_actions_addopen(&actions, 1, item.output.c_str(),
+                                     O_WRONLY | O_CREAT | O_APPEND, 0644);
+    std::string const log = path(name + ".log");
+    posix_spawn_file_actions_addopen(&actions, 2, log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
+    if (::posix_spawn(&item.id, binary.c_str(), &actions, nullptr, argv.data(), environ) != 0)
+        std::cerr << "cannot start " << binary << "\n";
+    posix_spawn_file_actions_destroy(&actions);
+    processes_[name] = item;
+}
+
+std::vector<std::string> fleet::common_arguments(std::string const& name, place const& where) const
+{
+    return {"--name=" + name,
+            "--region=" + where.region,
+            "--domain=" + where.domain,
+            "--controls=" + controls_setting(),
+            "--cluster-key-file=" + path("cluster.key"),
+            "--operator-key-file=" + path("operator.key")};
+}
+
+void fleet::start_control(unsigned i)
+{
+    auto arguments = common_arguments(control_names_[i], control_places_[i]);
+    arguments.push_back("--role=control");
+    arguments.push_back("--peer-listen=" + address(control_peer + i));
+    arguments.push_back("--operator-listen=" + address(control_operator + i));
+    arguments.push_back("--data=" + data_folder(i));
+    spawn(control_names_[i], options_.binary_folder + "/guavashedd", arguments);
+}
+
+void fleet::start_entry(unsigned i)
+{
+    auto arguments = common_arguments(entry_names_[i], entry_places_[i]);
+    arguments.push_back("--role=entry");
+    arguments.push_back("--caller-listen=" + address(entry_caller + i));
+    arguments.push_back("--peer-listen=" + address(entry_peer + i));
+    arguments.push_back("--operator-listen=" + address(entry_operator + i));
+    arguments.push_back("--policy=" + options_.policy);
+    arguments.push_back("--lookup-validity-ms=" + std::to_string(options_.lookup_validity_ms));
+    spawn(entry_names_[i], options_.binary_folder + "/guavashedd", arguments);
+}
+
+void fleet::start_upstreams(unsigned i)
+{
+    group const& item = groups_[i];
+    spawn(group_names_[i], options_.binary_folder + "/standin/standin-upstream",
+          {"--name=" + group_names_[i], "--service=" + item.service,
+           "--region=" + item.where.region, "--domain=" + item.where.domain,
+           "--address=" + address(upstream_first + item.first),
+           "--count=" + std::to_string(item.count), "--slots=" + std::to_string(item.slots),
+           "--service-ms=" + std::to_string(item.service_ms * options_.service_scale),
+           "--cold-factor=" + std::to_string(options_.cold_factor),
+           "--cold-work=" + std::to_string(options_.cold_work),
+           "--fault-share=" + std::to_string(options_.fault_share), "--seeds=" + seeds(),
+           "--ledger=" + path("ledger"), "--seed=" + std::to_string(options_.seed + i)});
+}
+
+std::string fleet::tool(std::vector<std::string> const& arguments, int* code)
+{
+    std::string operators;
+    for (unsigned i = 0; i < controls(); ++i)
+        operators += (i == 0 ? "" : ",") + address(control_operator + i);
+    static unsigned calls = 0;
+    std::string const name = "tool-" + std::to_string(calls++);
+    std::vector<std::string> all{"--operators=" + operators,
+                                 "--operator-key-file=" + path("operator.key")};
+    all.insert(all.end(), arguments.begin(), arguments.end());
+    spawn(name, options_.binary_folder + "/guavashed", all);
+    int const exit_code = await(name);
+    if (code != nullptr)
+        *code = exit_code;
+    std::string const out = output(name);
+    if (code == nullptr && exit_code != 0)
+        std::cerr << read_file(path(name + ".log"));
+    return out;
+}
+
+json::object fleet::status()
+{
+    boost::system::error_code code;
+    int exit_code = 0;
+    json::value const value = json::parse(tool({"--json", "status"}, &exit_code), code);
+    return value.is_object() ? value.get_object() : json::object();
+}
+
+bool fleet::wait_until(double limit_s, bool (*ready)(fleet&))
+{
+    auto const until =
+        std::chrono::steady_clock::now() + std::chrono::milliseconds(int(limit_s * 1000));
+    while (std::chrono::steady_clock::now() < until)
+    {
+        if (ready(*this))
+            return true;
+        pause_ms(100);
+    }
+    return false;
+}
+
+namespace
+{
+
+bool all_hosts_serve(fleet& item)
+{
+    json::object const status = item.status();
+    if (!status.contains("hosts") || status.at("hosts").as_array().size() != item.entries())
+        return false;
+    for (auto const& host : status.at("hosts").as_array())
+        if (host.as_object().at("phase").as_string() != "serving")
+            return false;
+    return true;
+}
+
+bool all_slots_usable(fleet& item)
+{
+    json::object const status = item.status();
+    if (!status.contains("regions"))
+        return false;
+    std::uint64_t wanted = 0;
+    for (auto const& service : item.deployment().at("services").as_array())
+        wanted += service.as_object().at("upstreams").to_number<std::uint64_t>();
+    std::uint64_t slots = 0;
+    for (auto const& region : status.at("regions").as_array())
+        slots += region.as_object().at("slots").to_number<std::uint64_t>();
+    return slots >= wanted;
+}
+
+} // namespace
+
+bool fleet::start()
+{
+    for (unsigned i = 0; i < controls(); ++i)
+        start_control(i);
+    for (unsigned i = 0; i < entries(); ++i)
+        start_entry(i);
+    for (unsigned i = 0; i < upstream_groups(); ++i)
+        start_upstreams(i);
+    int code = 1;
+    for (int attempt = 0; attempt < 20 && code != 0; ++attempt)
+    {
+        tool({"--out=" + path("plan.json"), "plan", options_.example_folder + "/intent.json"},
+             &code);
+        if (code != 0)
+            pause_ms(200);
+    }
+    if (code != 0)
+        return false;
+    tool({"confirm", path("plan.json")}, &code);
+    if (code != 0)
+        return false;
+    return wait_until(20, all_hosts_serve) && wait_until(20, all_slots_usable);
+}
+
+void fleet::start_load(std::string const& name, std::vector<std::string> const& loads,
+                       double duration_s, std::uint64_t seed)
+{
+    std::string joined;
+    for (auto const& load : loads)
+        joined += (joined.empty() ? "" : ",") + load;
+    std::string prefixes;
+    for (auto const& region : deployment_.at("regions").as_array())
+        prefixes += (prefixes.empty() ? "" : ",") +
+                    std::string(region.as_object().at("prefix").as_string());
+    std::filesystem::remove(path(name + ".out"));
+    spawn(name, options_.binary_folder + "/standin/standin-caller",
+          {"--entries=" + seeds(), "--prefixes=" + prefixes, "--load=" + joined,
+           "--duration-s=" + std::to_string(duration_s), "--seed=" + std::to_string(seed),
+           "--outcomes=" + path("outcomes")});
+}
+
+json::object fleet::await_load(std::string const& name)
+{
+    await(name, 120);
+    boost::system::error_code code;
+    json::value const value = json::parse(output(name), code);
+    return value.is_object() ? value.get_object() : json::object();
+}
+
+void fleet::signal(std::string const& name, int number)
+{
+    process& item = processes_.at(name);
+    if (!item.ended)
+        ::kill(item.id, number);
+}
+
+int fleet::await(std::string const& name, double limit_s)
+{
+    process& item = processes_.at(name);
+    auto const until =
+        std::chrono::steady_clock::now() + std::chrono::milliseconds(int(limit_s * 1000));
+    while (!item.ended)
+    {
+        int state = 0;
+        if (::waitpid(item.id, &state, WNOHANG) == item.id)
+        {
+            item.ended = true;
+            item.code = WIFEXITED(state) ? WEXITSTATUS(state) : -WTERMSIG(state);
+            break;
+        }
+        if (std::chrono::steady_clock::now() > until)
+            return -1000;
+        pause_ms(5);
+    }
+    return item.code;
+}
+
+bool fleet::running(std::string const& name) const
+{
+    auto const at = processes_.find(name);
+    return at != processes_.end() && !at->second.ended;
+}
+
+std::string fleet::output(std::string const& name) const
+{
+    return read_file(processes_.at(name).output);
+}
+
+unsigned fleet::stop_gracefully()
+{
+    unsigned bad = 0;
+    for (auto const* names : {&group_names_, &entry_names_, &control_names_})
+    {
+        for (auto const& name : *names)
+            if (running(name))
+                signal(name, SIGTERM);
+        for (auto const& name : *names)
+            if (processes_.contains(name))
+            {
+                int const code = await(name);
+                if (code != 0)
+                {
+                    ++bad;
+                    std::cerr << name << " ended with " << code << "\n"
+                              << read_file(path(name + ".log"));
+                }
+            }
+    }
+    return bad;
+}
+
+std::map<std::string, std::uint64_t> fleet::upstream_totals() const
+{
+    std::map<std::string, std::uint64_t> out;
+    for (auto const& name : group_names_)
+    {
+        std::istringstream lines(output(name));
+        for (std::string line; std::getline(lines, line);)
+        {
+            boost::system::error_code code;
+            json::value const value = json::parse(line, code);
+            if (!value.is_object())
+                continue;
+            for (auto const& field : value.get_object())
+                out[std::string(field.key())] += field.value().to_number<std::uint64_t>();
+        }
+    }
+    return out;
+}
+
+fleet::key_check fleet::check_keys() const
+{
+    key_check out;
+    std::map<std::string, unsigned> ran;
+    std::ifstream ledger(path("ledger"));
+    for (std::string key; std::getline(ledger, key);)
+        if (++ran[key] == 2)
+            ++out.doubled;
+    std::ifstream outcomes(path("outcomes"));
+    std::string outcome;
+    for (std::string key; outcomes >> outcome >> key;)
+    {
+        ++out.confirmations;
+        bool const did_run = ran.contains(key);
+        if (outcome == "not-run" && did_run)
+            ++out.false_not_run;
+        if (outcome == "answer" && !did_run)
+            ++out.answered_not_run;
+    }
+    return out;
+}
+
+} // namespace fleet_test
