--- /dev/null
+++ b/test/main.cpp
@@ -0,0 +1,13 @@
+// Catch's main, compiled once; invariants become test failures with their message.
+#define CATCH_CONFIG_RUNNER
+#include "invariant.hpp"
+
+#include <catch2/catch.hpp>
+#include <stdexcept>
+
+int main(int argc, char** argv)
+{
+    guavashed::install_invariant_handler([](std::string const& message)
+                                         { throw std::logic_error(message); });
+    return Catch::Session().run(argc, argv);
+}
