--- a/src/raft.cpp
+++ b/src/raft.cpp
@@ -503,7 +503,12 @@
     if (!decoded)
         return;
     raft_snapshot& snapshot = decoded.value();
-    if (snapshot.index > commit_)
+    bool const held = snapshot.index > commit_ && snapshot.index <= last_index() &&
+                      term_at(snapshot.index) == snapshot.term;
+    // A late snapshot must not drop entries behind it that this replica has acknowledged.
+    if (held)
+        commit_to(snapshot.index);
+    else if (snapshot.index > commit_)
         install(std::move(snapshot));
     raft_message reply =
         message_to({message.from, message.from_disk, true}, raft_message_kind::append_reply);
--- a/test/correctness/raft_test.cpp
+++ b/test/correctness/raft_test.cpp
@@ -77,7 +77,7 @@
                 group.core(*leader).hand_over(group.now());
             break;
         default:
-            if (group.in_transit() > 0 && random() % 8 != 0)
+            if (group.in_transit() > 0 && random() % 4 != 0)
                 group.deliver(random());
             else
                 group.pass_ms(static_cast<std::int64_t>(random() % 60));
@@ -199,8 +199,10 @@
 
 SCENARIO("random nights leave one log")
 {
+    // Found by random nights: a late snapshot dropped entries that were acknowledged after it.
+    random_night(3, 302'593, 6000, false);
     rc::prop("three replicas, with lost messages, cuts and crashes",
-             [](std::uint64_t seed) { random_night(3, seed, 1500, false); });
+             [](std::uint64_t seed) { random_night(3, seed, 6000, false); });
     rc::prop("five replicas, with lost disks as well",
-             [](std::uint64_t seed) { random_night(5, seed, 1500, true); });
+             [](std::uint64_t seed) { random_night(5, seed, 6000, true); });
 }
