Send loads of the own region as numbers, and rebuild tables with fewer hashes

Change: rows go out when hosts come, go or change phase; loads go to the own region only, as numbers, paced by how many hosts the region has. A host gets its own seats, not all. A block ranks the sites of its region and one other region's, not all 130; changes that come together share one rebuild.

--- a/Makefile
+++ b/Makefile
@@ -34,7 +34,7 @@
 	@$(BUILD)/bench/bench --binaries=$(BUILD)
 
 capacity: build
-	$(BUILD)/bench/capacity
+	$(BUILD)/bench/capacity --binaries=$(BUILD)
 
 soak: build
 	$(BUILD)/test/soak --binaries=$(BUILD) --seed=$(SEED) --duration-s=$(DURATION_S)
--- a/bench/control.cpp
+++ b/bench/control.cpp
@@ -1,6 +1,7 @@
 #include "figures.hpp"
 #include "fleet.hpp"
 #include "operator_client.hpp"
+#include "process_cost.hpp"
 
 #include <algorithm>
 #include <boost/json.hpp>
@@ -121,29 +122,6 @@
     return values[static_cast<std::size_t>(share * double(values.size() - 1))];
 }
 
-double processor_seconds(pid_t process)
-{
-    std::ifstream file("/proc/" + std::to_string(process) + "/stat");
-    std::string text((std::istreambuf_iterator<char>(file)), {});
-    std::istringstream rest(text.substr(text.rfind(')') + 2));
-    std::string skipped;
-    for (int i = 0; i < 11; ++i)
-        rest >> skipped;
-    double user = 0;
-    double system = 0;
-    rest >> user >> system;
-    return (user + system) / static_cast<double>(::sysconf(_SC_CLK_TCK));
-}
-
-double resident_mb(pid_t process)
-{
-    std::ifstream file("/proc/" + std::to_string(process) + "/statm");
-    double size = 0;
-    double resident = 0;
-    file >> size >> resident;
-    return resident * static_cast<double>(::sysconf(_SC_PAGESIZE)) / 1e6;
-}
-
 double metric(fleet& night, unsigned entry, std::string const& name)
 {
     operator_client client({}, "operator-key-for-loopback");
--- a/src/control_node.cpp
+++ b/src/control_node.cpp
@@ -18,6 +18,8 @@
 constexpr milliseconds presence_interval{500};
 constexpr milliseconds housekeeping_interval{200};
 constexpr milliseconds push_interval{250};
+/// Time between two loads of one region's hosts, for each host in it.
+constexpr milliseconds load_pace{17};
 constexpr milliseconds presence_lease{2500};
 /// An entry host may hold its state to be the newest for this long after a fresh replica said so.
 constexpr milliseconds configuration_lease{2000};
@@ -528,6 +530,7 @@
     entry_session& entry = at->second;
     entry.session = session;
     entry.host = row.value().host;
+    entry.region = row.value().region;
     bool const advanced = entry.acknowledged < row.value().version;
     entry.acknowledged = row.value().version;
     entry.sent = std::max(entry.sent, entry.acknowledged);
@@ -577,15 +580,38 @@
         out.lease_left_ms = remaining_ms(std::min(fresh, now + milliseconds(400)), now) +
                             static_cast<std::uint32_t>(configuration_lease.count());
         if (entry.sent < state_.version())
-            out.state = state_.fleet();
+            out.state = state_for(entry.host);
         entry.sent = state_.version();
         ++counters_.pushes;
         if (!entry.session->send(frame_type::configuration, encode(out)))
             return;
     }
+    push_view(now, entry);
+}
+
+void control_node::push_view(instant now, entry_session& entry)
+{
     view_push const view = presence_.changes_since(entry.view_seen);
     if (view.whole || !view.changed.empty() || !view.gone.empty())
         entry.session->send(frame_type::view, encode(view));
+    if (now < entry.next_loads)
+        return;
+    // The more hosts a region has, the less often each one's load is sent.
+    auto const pace = load_pace * static_cast<int>(presence_.count_in(entry.region));
+    entry.next_loads = now + std::max(push_interval, pace);
+    load_push const loads = presence_.loads_since(entry.loads_seen, entry.region);
+    if (!loads.loads.empty())
+        entry.session->send(frame_type::loads, encode(loads));
+}
+
+/// What one entry host needs of the state: all of the configuration, and its own seats.
+fleet_state control_node::state_for(host_name const& host) const
+{
+    fleet_state out{state_.fleet().config, {}};
+    for (auto const& held : state_.fleet().seats)
+        if (held.host == host)
+            out.seats.push_back(held);
+    return out;
 }
 
 void control_node::push_changed_state(instant now)
--- a/src/control_node.hpp
+++ b/src/control_node.hpp
@@ -60,7 +60,10 @@
         config_version sent;
         config_version acknowledged;
         std::uint64_t view_seen = 0;
+        std::uint64_t loads_seen = 0;
+        region_name region;
         instant next_push;
+        instant next_loads;
     };
 
     struct peer_state
@@ -93,6 +96,8 @@
     void on_peer_presence(std::string const& payload);
     void share_presence();
     void push_to(instant now, entry_session& entry);
+    void push_view(instant now, entry_session& entry);
+    fleet_state state_for(host_name const& host) const;
     void push_changed_state(instant now);
     void seat_hosts(instant now);
     void step_shifts(instant now);
--- a/src/entry_core.cpp
+++ b/src/entry_core.cpp
@@ -756,10 +756,7 @@
     dispatch(now);
 }
 
-void entry_core::on_view(view_push const& push)
-{
-    view_.apply(push);
-}
+bool entry_core::on_view(view_push const& push) { return view_.apply(push); }
 
 host_row entry_core::row(instant now) const
 {
--- a/src/entry_core.hpp
+++ b/src/entry_core.hpp
@@ -82,7 +82,9 @@
     void on_state(instant now, fleet_state const& state);
     /// Control answers (true) or has been silent past the lease (false).
     void on_control_lease(bool connected) { connected_ = connected; }
-    void on_view(view_push const& push);
+    /// True when hosts came, went or changed phase.
+    bool on_view(view_push const& push);
+    void on_loads(load_push const& push) { view_.apply(push); }
     /// Moves deadlines; call every few milliseconds to tens of milliseconds.
     void tick(instant now);
     /// Hands upstreams over and takes no new ones: the host is leaving.
--- a/src/entry_node.cpp
+++ b/src/entry_node.cpp
@@ -20,6 +20,8 @@
 constexpr std::size_t table_capacity = 8;
 constexpr milliseconds tick_interval{5};
 constexpr milliseconds publish_interval{250};
+/// Changes that come closer together than this share one rebuild of the steering table.
+constexpr milliseconds table_interval{500};
 /// How long the others may still name a leaving host: presence, view and push each lag.
 constexpr milliseconds view_lag{1500};
 /// Ids of requests that other entry hosts send here; the front's count from 1.
@@ -112,6 +114,8 @@
     run_actions(now);
     if (now >= next_publish_)
         publish(now);
+    if (table_stale_ && now >= next_table_)
+        rebuild_table(now);
     front_->set_serving(configured_ && table_built_ && !leaving_);
 }
 
@@ -218,11 +222,12 @@
     }
     else if (auto* push = std::get_if<configuration_push>(&event))
         on_configuration(std::move(*push));
-    else
+    else if (auto const* loads = std::get_if<load_push>(&event))
+        core_->on_loads(*loads);
+    else if (core_->on_view(std::get<view_push>(event)))
     {
-        core_->on_view(std::get<view_push>(event));
         hub_->push(hub_neighbours{core_->view().rows()});
-        rebuild_table();
+        table_stale_ = true;
     }
     run_actions(now);
 }
@@ -235,7 +240,7 @@
     {
         core_->on_state(now, *push.state);
         publish(now);
-        rebuild_table();
+        table_stale_ = true;
     }
     // A replica that is behind this host confirms nothing.
     if (push.version < core_->config().version)
@@ -249,9 +254,10 @@
     publish(now);
 }
 
-void entry_node::rebuild_table()
+void entry_node::rebuild_table(instant now)
 {
-    table_ring_.push(table_order{core_->config(), core_->view()});
+    next_table_ = now + table_interval;
+    table_stale_ = !table_ring_.push(table_order{core_->config(), core_->view()});
 }
 
 void entry_node::run_actions(instant now)
--- a/src/entry_node.hpp
+++ b/src/entry_node.hpp
@@ -64,7 +64,7 @@
     void forward(send_forward&& order);
     void answer(instant now, give_answer&& reply);
     void publish(instant now);
-    void rebuild_table();
+    void rebuild_table(instant now);
     host_row full_row(instant now) const;
     http_response status(instant now) const;
     http_response explain(std::string const& subject) const;
@@ -91,6 +91,8 @@
     incarnation life_;
     bool configured_ = false;
     bool leaving_ = false;
+    bool table_stale_ = false;
+    instant next_table_;
     instant lease_until_;
     instant next_publish_;
     config_version published_;
--- a/src/fleet_messages.hpp
+++ b/src/fleet_messages.hpp
@@ -117,12 +117,55 @@
 
     bool whole = false;
     std::vector<host_row> changed;
+    /// The sender's number for each row of `changed`, by which load digests name it.
+    std::vector<std::uint16_t> numbers;
     std::vector<host_name> gone;
 
     template <class Archive>
     void serialize(Archive& archive)
     {
-        archive(whole, changed, gone);
+        archive(whole, changed, numbers, gone);
+    }
+};
+
+/// The numbers of one service's load, in the order of the row's services.
+struct load_numbers
+{
+    std::uint16_t slots = 0;
+    std::uint16_t in_flight = 0;
+    std::array<std::uint16_t, rank_count> waiting{};
+    std::uint32_t mean_service_us = 0;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(slots, in_flight, waiting, mean_service_us);
+    }
+};
+
+struct load_digest
+{
+    std::uint16_t number = 0;
+    std::vector<load_numbers> services;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(number, services);
+    }
+};
+
+/// Control to an entry host: new loads of hosts in its own region, a few bytes each.
+struct load_push
+{
+    static constexpr std::uint16_t wire_version = 1;
+
+    std::vector<load_digest> loads;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(loads);
     }
 };
 
--- a/src/fleet_view.cpp
+++ b/src/fleet_view.cpp
@@ -42,9 +42,45 @@
                   changed;
     for (auto const& row : push.changed)
         changed = put(row) || changed;
+    learn_numbers(push);
     return changed;
 }
 
+void fleet_view::learn_numbers(view_push const& push)
+{
+    if (push.whole)
+        numbered_.clear();
+    for (std::size_t i = 0; i < push.changed.size() && i < push.numbers.size(); ++i)
+    {
+        if (numbered_.size() <= push.numbers[i])
+            numbered_.resize(push.numbers[i] + std::size_t{1});
+        numbered_[push.numbers[i]] = push.changed[i].host;
+    }
+}
+
+void fleet_view::apply(load_push const& push)
+{
+    for (auto const& digest : push.loads)
+    {
+        if (digest.number >= numbered_.size())
+            continue;
+        auto const at = std::lower_bound(rows_.begin(), rows_.end(), numbered_[digest.number],
+                                         [](host_row const& item, host_name const& name)
+                                         { return item.host < name; });
+        if (at == rows_.end() || at->host != numbered_[digest.number])
+            continue;
+        for (std::size_t i = 0; i < digest.services.size() && i < at->services.size(); ++i)
+        {
+            load_numbers const& numbers = digest.services[i];
+            service_load& load = at->services[i];
+            load.slots = numbers.slots;
+            load.in_flight = numbers.in_flight;
+            load.waiting = numbers.waiting;
+            load.mean_service_us = numbers.mean_service_us;
+        }
+    }
+}
+
 host_row const* fleet_view::find(host_name const& host) const
 {
     auto const at = std::lower_bound(rows_.begin(), rows_.end(), host,
--- a/src/fleet_view.hpp
+++ b/src/fleet_view.hpp
@@ -17,14 +17,19 @@
 public:
     /// Applies what control sent; returns true when hosts came, went or changed phase.
     bool apply(view_push const& push);
+    /// Applies new loads; digests of rows that are not in view are ignored.
+    void apply(load_push const& push);
     /// The row of that host, or null.
     host_row const* find(host_name const& host) const;
     std::vector<host_row> const& rows() const { return rows_; }
 
 private:
     bool put(host_row const& row);
+    void learn_numbers(view_push const& push);
 
     std::vector<host_row> rows_;
+    /// Host for each of the sender's numbers.
+    std::vector<host_name> numbered_;
 };
 
 /// The host's load for that service, or null. Thread safe.
--- a/src/frame_link.hpp
+++ b/src/frame_link.hpp
@@ -26,7 +26,8 @@
     forward_reply = 10,
     forward_cancel = 11,
     join = 12,
-    peer_presence = 13
+    peer_presence = 13,
+    loads = 14
 };
 
 struct frame
--- a/src/peer_hub.cpp
+++ b/src/peer_hub.cpp
@@ -330,6 +330,15 @@
             return;
         }
         break;
+    case frame_type::loads:
+        counters_.control_bytes += item.payload.size();
+        if (auto push = decode<load_push>(item.payload, peer))
+        {
+            if (peer == control_order_[control_].value())
+                emit(std::move(push).value());
+            return;
+        }
+        break;
     case frame_type::claim_reply:
         if (auto reply = decode<claim_reply>(item.payload, peer))
             return on_claim_reply(session, reply.value());
--- a/src/peer_hub.hpp
+++ b/src/peer_hub.hpp
@@ -73,8 +73,8 @@
     frame_session_ptr from;
 };
 
-using hub_event =
-    std::variant<hub_claim, hub_forwarded, hub_request, hub_cancel, configuration_push, view_push>;
+using hub_event = std::variant<hub_claim, hub_forwarded, hub_request, hub_cancel,
+                               configuration_push, view_push, load_push>;
 
 struct hub_counters
 {
--- a/src/presence_table.cpp
+++ b/src/presence_table.cpp
@@ -11,6 +11,20 @@
 constexpr std::uint32_t short_lives_allowed = 3;
 constexpr std::chrono::seconds hold_back{30};
 
+/// True when the rows differ in more than loads and version, which the others do not need at once.
+bool differs_in_structure(host_row const& a, host_row const& b)
+{
+    if (a.services.size() != b.services.size())
+        return true;
+    for (std::size_t i = 0; i < a.services.size(); ++i)
+        if (a.services[i].service != b.services[i].service ||
+            (a.services[i].slots == 0) != (b.services[i].slots == 0))
+            return true;
+    return a.life != b.life || a.region != b.region || a.domain != b.domain ||
+           a.caller_endpoint != b.caller_endpoint || a.peer_endpoint != b.peer_endpoint ||
+           a.operator_endpoint != b.operator_endpoint || a.phase != b.phase;
+}
+
 } // namespace
 
 void presence_table::count_life(instant now, entry& item)
@@ -24,7 +38,10 @@
 
 bool presence_table::renew(instant now, host_row const& row, instant lease_until)
 {
-    entry& item = entries_[row.host];
+    auto const [at, added] = entries_.try_emplace(row.host);
+    entry& item = at->second;
+    if (added)
+        item.number = next_number_++;
     if (row.life < item.row.life)
         return false;
     if (item.row.life < row.life)
@@ -36,9 +53,12 @@
     item.lease_until = std::max(item.lease_until, lease_until);
     if (item.present && item.row == shown)
         return true;
+    ++changes_;
+    if (!item.present || differs_in_structure(item.row, shown))
+        item.changed = changes_;
+    item.load_changed = changes_;
     item.row = std::move(shown);
     item.present = true;
-    item.changed = ++changes_;
     return true;
 }
 
@@ -64,7 +84,10 @@
         if (item.changed <= since && !out.whole)
             continue;
         if (item.present)
+        {
             out.changed.push_back(item.row);
+            out.numbers.push_back(item.number);
+        }
         else if (!out.whole)
             out.gone.push_back(host);
     }
@@ -72,6 +95,33 @@
     return out;
 }
 
+load_push presence_table::loads_since(std::uint64_t& since, region_name const& region) const
+{
+    load_push out;
+    for (auto const& [host, item] : entries_)
+    {
+        if (!item.present || item.load_changed <= since || item.row.region != region)
+            continue;
+        load_digest digest;
+        digest.number = item.number;
+        for (auto const& load : item.row.services)
+            digest.services.push_back(
+                {load.slots, load.in_flight, load.waiting, load.mean_service_us});
+        out.loads.push_back(std::move(digest));
+    }
+    since = changes_;
+    return out;
+}
+
+std::size_t presence_table::count_in(region_name const& region) const
+{
+    std::size_t count = 0;
+    for (auto const& [host, item] : entries_)
+        if (item.present && item.row.region == region)
+            ++count;
+    return count;
+}
+
 std::vector<host_row> presence_table::rows() const
 {
     std::vector<host_row> out;
--- a/src/presence_table.hpp
+++ b/src/presence_table.hpp
@@ -22,8 +22,12 @@
     bool renew(instant now, host_row const& row, instant lease_until);
     /// Drops rows whose lease has ended; returns their hosts.
     std::vector<host_name> expire(instant now);
-    /// What has changed since `since`, for a push; `since` is moved on.
+    /// Hosts that came, went or changed in more than their loads since `since`, which is moved on.
     view_push changes_since(std::uint64_t& since) const;
+    /// Loads of one region's hosts that have changed since `since`, which is moved on.
+    load_push loads_since(std::uint64_t& since, region_name const& region) const;
+    /// Hosts present in a region.
+    std::size_t count_in(region_name const& region) const;
     /// Rows that are present.
     std::vector<host_row> rows() const;
     host_row const* find(host_name const& host) const;
@@ -36,8 +40,10 @@
         host_row row;
         instant lease_until;
         instant seen;
-        /// Change counter at the row's last change.
+        /// Change counter at the last change of more than loads, and of loads.
         std::uint64_t changed = 0;
+        std::uint64_t load_changed = 0;
+        std::uint16_t number = 0;
         bool present = false;
         instant life_started;
         std::uint32_t short_lives = 0;
@@ -48,6 +54,7 @@
 
     std::map<host_name, entry> entries_;
     std::uint64_t changes_ = 0;
+    std::uint16_t next_number_ = 0;
 };
 
 } // namespace guavashed
--- a/src/steering_table.cpp
+++ b/src/steering_table.cpp
@@ -25,6 +25,7 @@
     {
         auto const position = static_cast<std::uint32_t>(out->regions.size());
         out->regions.push_back(region.name);
+        out->region_hashes.push_back(stable_hash(region.name.value()));
         for (auto const& prefix : region.client_prefixes)
         {
             out->prefixes.push_back(prefix);
@@ -47,6 +48,10 @@
                 site.hosts.push_back(
                     {row.host, row.caller_endpoint, stable_hash(row.host.value())});
     }
+    out->region_sites.resize(out->regions.size());
+    for (std::size_t i = 0; i < out->sites.size(); ++i)
+        if (!out->sites[i].hosts.empty())
+            out->region_sites[out->sites[i].region].push_back(static_cast<std::uint8_t>(i));
     return out;
 }
 
@@ -76,37 +81,84 @@
         word.store(~std::uint32_t{0}, std::memory_order_relaxed);
 }
 
+namespace
+{
+
+/// Fills a table word site by site.
+class word_builder
+{
+public:
+    /// Adds up to `wanted` sites of a region, best first by rendezvous hashing, so that a site's
+    /// coming or going moves only its own blocks.
+    void add_region(steering_sites const& sites, std::uint32_t region, std::size_t block,
+                    std::size_t wanted)
+    {
+        std::uint8_t last = no_site;
+        std::uint64_t floor = 0;
+        for (std::size_t taken = 0; taken < wanted && count_ < sites_per_block; ++taken)
+        {
+            std::uint8_t best = no_site;
+            std::uint64_t best_score = ~std::uint64_t{0};
+            for (std::uint8_t const site : sites.region_sites[region])
+            {
+                std::uint64_t const score = mix_hash(sites.sites[site].hash, block);
+                bool const later = last == no_site || score > floor;
+                if (later && score < best_score)
+                {
+                    best = site;
+                    best_score = score;
+                }
+            }
+            if (best == no_site)
+                return;
+            last = best;
+            floor = best_score;
+            word_ &= ~(std::uint32_t{0xff} << (8 * count_));
+            word_ |= std::uint32_t{best} << (8 * count_);
+            ++count_;
+        }
+    }
+
+    bool full() const { return count_ == sites_per_block; }
+    std::uint32_t word() const { return word_; }
+
+private:
+    std::uint32_t word_ = ~std::uint32_t{0};
+    std::size_t count_ = 0;
+};
+
+} // namespace
+
 std::uint32_t steering_table::word_for(steering_sites const& sites, configuration const& config,
                                        std::size_t block) const
 {
     auto const near = static_cast<std::uint32_t>(block % sites.regions.size());
     std::uint32_t const first = steered_region(sites, config, block, near);
-    struct scored
-    {
-        std::uint64_t score;
-        std::uint8_t site;
-    };
-    std::array<scored, 256> candidates;
-    std::size_t count = 0;
-    for (std::size_t i = 0; i < sites.sites.size(); ++i)
+    word_builder out;
+    // One place is kept for another region, for callers whose own region is lost.
+    out.add_region(sites, first, block, sites_per_block - 1);
+    if (near != first)
+        out.add_region(sites, near, block, 1);
+    std::uint64_t floor = 0;
+    for (std::size_t tried = 0; tried < sites.regions.size() && !out.full(); ++tried)
     {
-        steering_site const& site = sites.sites[i];
-        if (site.hosts.empty())
-            continue;
-        // Class 0: the steered region; class 1: the near one; class 2: any other.
-        std::uint64_t const place = site.region == first ? 0 : (site.region == near ? 1 : 2);
-        // Within a class by rendezvous hashing, so that a site's coming or going moves only its
-        // own.
-        std::uint64_t const hash = mix_hash(site.hash, block) >> 2;
-        candidates[count++] = {(place << 62) | hash, static_cast<std::uint8_t>(i)};
+        std::uint32_t next = first;
+        std::uint64_t next_score = ~std::uint64_t{0};
+        for (std::uint32_t region = 0; region < sites.regions.size(); ++region)
+        {
+            std::uint64_t const score = mix_hash(sites.region_hashes[region], block);
+            if (region != first && region != near && score > floor && score < next_score)
+            {
+                next = region;
+                next_score = score;
+            }
+        }
+        if (next == first)
+            break;
+        floor = next_score;
+        out.add_region(sites, next, block, sites_per_block);
     }
-    std::size_t const used = std::min(count, sites_per_block);
-    std::partial_sort(candidates.begin(), candidates.begin() + used, candidates.begin() + count,
-                      [](scored const& a, scored const& b) { return a.score < b.score; });
-    std::uint32_t word = 0;
-    for (std::size_t i = 0; i < sites_per_block; ++i)
-        word |= static_cast<std::uint32_t>(i < used ? candidates[i].site : no_site) << (8 * i);
-    return word;
+    return out.word();
 }
 
 std::size_t steering_table::rebuild(configuration const& config, fleet_view const& view)
--- a/src/steering_table.hpp
+++ b/src/steering_table.hpp
@@ -41,6 +41,9 @@
 {
     std::vector<steering_site> sites;
     std::vector<region_name> regions;
+    std::vector<std::uint64_t> region_hashes;
+    /// Numbers of the sites with hosts, for each region.
+    std::vector<std::vector<std::uint8_t>> region_sites;
     std::vector<std::string> prefixes;
     std::vector<std::uint32_t> prefix_region;
 };
--- a/standin/caller.cpp
+++ b/standin/caller.cpp
@@ -120,10 +120,10 @@
                 return t.latency_us[static_cast<std::size_t>(share * last)] / 1000.0;
             };
             out[loads_[i].service + "/" + loads_[i].kind] = json::object{
-                {"sent", t.sent},       {"answered", t.answered}, {"in_deadline", t.in_deadline},
-                {"not_run", t.not_run}, {"unknown", t.unknown},   {"failed", t.failed},
-                {"mixed", t.mixed},     {"p50_ms", at(0.5)},      {"p99_ms", at(0.99)},
-                {"max_ms", at(1.0)}};
+                {"sent", t.sent},       {"answered", t.answered},    {"in_deadline", t.in_deadline},
+                {"not_run", t.not_run}, {"unknown", t.unknown},      {"failed", t.failed},
+                {"mixed", t.mixed},     {"busy_s", busy_seconds(t)}, {"p50_ms", at(0.5)},
+                {"p99_ms", at(0.99)},   {"max_ms", at(1.0)}};
         }
         return out;
     }
