--- /dev/null
+++ b/src/control_membership.cpp
@@ -0,0 +1,101 @@
+// How control hosts find each other, found the group, and take in a replaced disk.
+#include "codec.hpp"
+#include "control_node.hpp"
+#include "log.hpp"
+
+#include <algorithm>
+
+namespace guavashed
+{
+void control_node::send_join()
+{
+    join_message out;
+    out.host = settings_.name;
+    out.disk = disk_;
+    out.peer_endpoint = settings_.peer_listen;
+    out.operator_endpoint = settings_.operator_listen;
+    out.blank = raft_->last_index().value() == 0;
+    out.founding = state_.founding();
+    std::string const bytes = encode(out);
+    for (auto& [host, peer] : peers_)
+        peer.link->send(frame_type::join, bytes);
+}
+
+void control_node::on_join(join_message message)
+{
+    auto const known = peers_.find(message.host);
+    if (message.host == settings_.name)
+        return;
+    if (known == peers_.end())
+    {
+        // A control host that was added after this one's settings were written.
+        frame_identity const identity{settings_.name.value(), settings_.cluster_key};
+        peer_state& peer = peers_[message.host];
+        peer.link = std::make_unique<frame_client>(duty_, *this, identity, message.peer_endpoint);
+        peer.link->start();
+    }
+    bool const blank = raft_->last_index().value() == 0;
+    raft_member const* self = message.founding.find(settings_.name);
+    if (blank && self != nullptr && self->disk == disk_)
+    {
+        control_state founded;
+        founded.found(message.founding);
+        raft_->found({log_index(1), log_term(1), message.founding, founded.save()});
+    }
+    peer_state& peer = peers_[message.host];
+    peer.said = std::move(message);
+    peer.heard = true;
+}
+
+void control_node::found_when_possible()
+{
+    if (raft_->last_index().value() != 0)
+        return;
+    raft_membership founding;
+    founding.members.push_back({settings_.name, disk_, true});
+    for (auto const& [host, peer] : peers_)
+    {
+        if (!peer.heard || !peer.said.blank || host < settings_.name)
+            return;
+        founding.members.push_back({host, peer.said.disk, true});
+    }
+    control_state founded;
+    founded.found(founding);
+    raft_->found({log_index(1), log_term(1), founding, founded.save()});
+    log_change(log_level::info, "group_founded",
+               "members=" + std::to_string(founding.members.size()));
+}
+
+void control_node::mend_membership(instant now)
+{
+    if (!raft_->membership_settled())
+        return;
+    raft_membership next = raft_->membership();
+    for (auto const& [host, peer] : peers_)
+    {
+        if (!peer.heard || !peer.said.blank)
+            continue;
+        raft_member const* held = next.find(host);
+        if (held != nullptr && held->disk == peer.said.disk)
+            continue;
+        // Its old disk is gone and with it what it promised: it starts anew, without a vote.
+        std::erase_if(next.members, [&](raft_member const& item) { return item.host == host; });
+        next.members.push_back({host, peer.said.disk, false});
+        if (raft_->propose_membership(next))
+            log_change(log_level::info, "member_taken_in", "host=" + host.value());
+        return;
+    }
+    for (auto& member : next.members)
+    {
+        if (member.voter || raft_->heard_from(member.host) + std::chrono::seconds(1) < now ||
+            raft_->match_of(member.host) < raft_->commit_index())
+            continue;
+        member.voter = true;
+        host_name const host = member.host;
+        if (raft_->propose_membership(next))
+            log_change(log_level::info, "member_votes", "host=" + host.value());
+        return;
+    }
+}
+
+} // namespace guavashed
--- a/src/control_node.cpp
+++ b/src/control_node.cpp
@@ -17,13 +17,6 @@
 constexpr milliseconds join_interval{200};
 constexpr milliseconds presence_interval{500};
 constexpr milliseconds housekeeping_interval{200};
-constexpr milliseconds push_interval{250};
-/// Time between two loads of one region's hosts, for each host in it.
-constexpr milliseconds load_pace{17};
-constexpr milliseconds presence_lease{2500};
-/// An entry host may hold its state to be the newest for this long after a fresh replica said so.
-constexpr milliseconds configuration_lease{2000};
-constexpr std::chrono::hours seat_hold{2};
 constexpr std::uint64_t entries_between_snapshots = 500;
 constexpr std::size_t max_acceptances = 256;
 
@@ -35,7 +28,8 @@
 } // namespace
 
 control_node::control_node(daemon_settings const& settings)
-    : settings_(settings), duty_("control"), timer_(duty_.context()),
+    : settings_(settings), duty_("control"),
+      ticker_(duty_, tick_interval, [this](instant now) { tick(now); }),
       operator_ring_(duty_, ring_capacity,
                      [this](operator_request&& item) { on_operator(std::move(item)); })
 {
@@ -88,7 +82,7 @@
                       {
                           for (auto& [host, peer] : peers_)
                               peer.link->start();
-                          schedule_tick();
+                          ticker_.start();
                       });
     log_change(log_level::info, "control_started",
                std::string("disk=") + (opened.fresh ? "fresh" : "known") +
@@ -96,19 +90,6 @@
     return boost::outcome_v2::success();
 }
 
-void control_node::schedule_tick()
-{
-    timer_.expires_after(tick_interval);
-    timer_.async_wait(
-        [this](boost::system::error_code code)
-        {
-            if (code)
-                return;
-            tick(instant::clock::now());
-            schedule_tick();
-        });
-}
-
 void control_node::tick(instant now)
 {
     raft_->tick(now);
@@ -302,134 +283,11 @@
     peer->second.link->send(frame_type::raft, encode(message));
 }
 
-void control_node::send_join()
-{
-    join_message out;
-    out.host = settings_.name;
-    out.disk = disk_;
-    out.peer_endpoint = settings_.peer_listen;
-    out.operator_endpoint = settings_.operator_listen;
-    out.blank = raft_->last_index().value() == 0;
-    out.founding = state_.founding();
-    std::string const bytes = encode(out);
-    for (auto& [host, peer] : peers_)
-        peer.link->send(frame_type::join, bytes);
-}
-
-void control_node::on_join(join_message message)
-{
-    auto const known = peers_.find(message.host);
-    if (message.host == settings_.name)
-        return;
-    if (known == peers_.end())
-    {
-        // A control host that was added after this one's settings were written.
-        frame_identity const identity{settings_.name.value(), settings_.cluster_key};
-        peer_state& peer = peers_[message.host];
-        peer.link = std::make_unique<frame_client>(duty_, *this, identity, message.peer_endpoint);
-        peer.link->start();
-    }
-    bool const blank = raft_->last_index().value() == 0;
-    raft_member const* self = message.founding.find(settings_.name);
-    if (blank && self != nullptr && self->disk == disk_)
-    {
-        control_state founded;
-        founded.found(message.founding);
-        raft_->found({log_index(1), log_term(1), message.founding, founded.save()});
-    }
-    peer_state& peer = peers_[message.host];
-    peer.said = std::move(message);
-    peer.heard = true;
-}
-
-void control_node::found_when_possible()
-{
-    if (raft_->last_index().value() != 0)
-        return;
-    raft_membership founding;
-    founding.members.push_back({settings_.name, disk_, true});
-    for (auto const& [host, peer] : peers_)
-    {
-        if (!peer.heard || !peer.said.blank || host < settings_.name)
-            return;
-        founding.members.push_back({host, peer.said.disk, true});
-    }
-    control_state founded;
-    founded.found(founding);
-    raft_->found({log_index(1), log_term(1), founding, founded.save()});
-    log_change(log_level::info, "group_founded",
-               "members=" + std::to_string(founding.members.size()));
-}
-
-void control_node::mend_membership(instant now)
-{
-    if (!raft_->membership_settled())
-        return;
-    raft_membership next = raft_->membership();
-    for (auto const& [host, peer] : peers_)
-    {
-        if (!peer.heard || !peer.said.blank)
-            continue;
-        raft_member const* held = next.find(host);
-        if (held != nullptr && held->disk == peer.said.disk)
-            continue;
-        // Its old disk is gone and with it what it promised: it starts anew, without a vote.
-        std::erase_if(next.members, [&](raft_member const& item) { return item.host == host; });
-        next.members.push_back({host, peer.said.disk, false});
-        if (raft_->propose_membership(next))
-            log_change(log_level::info, "member_taken_in", "host=" + host.value());
-        return;
-    }
-    for (auto& member : next.members)
-    {
-        if (member.voter || raft_->heard_from(member.host) + std::chrono::seconds(1) < now ||
-            raft_->match_of(member.host) < raft_->commit_index())
-            continue;
-        member.voter = true;
-        host_name const host = member.host;
-        if (raft_->propose_membership(next))
-            log_change(log_level::info, "member_votes", "host=" + host.value());
-        return;
-    }
-}
-
 bool control_node::propose(control_command const& command)
 {
     return raft_->propose(encode(command)).has_value();
 }
 
-void control_node::seat_hosts(instant now)
-{
-    if (raft_->last_index() != applied_)
-        return;
-    auto const& fleet = state_.fleet();
-    for (auto const& row : presence_.rows())
-    {
-        region_config const* region = find_region(fleet.config, row.region);
-        bool const seated = std::any_of(
-            fleet.seats.begin(), fleet.seats.end(),
-            [&](seat const& item) { return item.host == row.host && item.region == row.region; });
-        if (region == nullptr || seated || row.phase == host_phase::leaving)
-            continue;
-        for (std::uint32_t position = 0; position < region->entry_hosts; ++position)
-        {
-            auto const holder =
-                std::find_if(fleet.seats.begin(), fleet.seats.end(),
-                             [&](seat const& item)
-                             { return item.region == row.region && item.position == position; });
-            bool const held = holder != fleet.seats.end();
-            if (held && std::max(presence_.last_seen(holder->host), led_since_) + seat_hold > now)
-                continue;
-            control_command command;
-            command.kind = control_command_kind::take_seat;
-            command.taken = {row.host, row.region, position};
-            command.at_ms = wall_ms(std::chrono::system_clock::now());
-            propose(command);
-            return;
-        }
-    }
-}
-
 std::optional<region_load> control_node::load_of(region_name const& region) const
 {
     std::uint32_t slots = 0;
@@ -517,126 +375,6 @@
     session->close();
 }
 
-void control_node::on_presence(frame_session_ptr const& session, std::string const& payload)
-{
-    auto row = decode<host_row>(payload, session->peer());
-    if (!row)
-    {
-        ++counters_.bad_frames;
-        return session->close();
-    }
-    instant const now = instant::clock::now();
-    auto const [at, added] = entries_.try_emplace(session.get());
-    entry_session& entry = at->second;
-    entry.session = session;
-    entry.host = row.value().host;
-    entry.region = row.value().region;
-    bool const advanced = entry.acknowledged < row.value().version;
-    entry.acknowledged = row.value().version;
-    entry.sent = std::max(entry.sent, entry.acknowledged);
-    host_row const* known = presence_.find(entry.host);
-    bool const phase_changed = known == nullptr || known->phase != row.value().phase;
-    presence_.renew(now, row.value(), now + presence_lease);
-    if (advanced || phase_changed)
-        share_presence();
-    if (added)
-        push_to(now, entry);
-}
-
-void control_node::on_peer_presence(std::string const& payload)
-{
-    auto said = decode<peer_presence>(payload, "control host");
-    if (!said)
-    {
-        ++counters_.bad_frames;
-        return;
-    }
-    instant const now = instant::clock::now();
-    for (auto const& row : said.value().rows)
-        presence_.renew(now, row, now + presence_lease);
-}
-
-void control_node::share_presence()
-{
-    peer_presence out;
-    for (auto const& [session, entry] : entries_)
-        if (host_row const* row = presence_.find(entry.host))
-            out.rows.push_back(*row);
-    if (out.rows.empty())
-        return;
-    std::string const bytes = encode(out);
-    for (auto& [host, peer] : peers_)
-        peer.link->send(frame_type::peer_presence, bytes);
-}
-
-void control_node::push_to(instant now, entry_session& entry)
-{
-    entry.next_push = now + push_interval;
-    instant const fresh = raft_->fresh_until();
-    if (fresh > now)
-    {
-        configuration_push out;
-        out.version = state_.version();
-        out.lease_left_ms = remaining_ms(std::min(fresh, now + milliseconds(400)), now) +
-                            static_cast<std::uint32_t>(configuration_lease.count());
-        if (entry.sent < state_.version())
-            out.state = state_for(entry.host);
-        entry.sent = state_.version();
-        ++counters_.pushes;
-        if (!entry.session->send(frame_type::configuration, encode(out)))
-            return;
-    }
-    push_view(now, entry);
-}
-
-void control_node::push_view(instant now, entry_session& entry)
-{
-    view_push const view = presence_.changes_since(entry.view_seen);
-    if (view.whole || !view.changed.empty() || !view.gone.empty())
-        entry.session->send(frame_type::view, encode(view));
-    if (now < entry.next_loads)
-        return;
-    // The more hosts a region has, the less often each one's load is sent.
-    auto const pace = load_pace * static_cast<int>(presence_.count_in(entry.region));
-    entry.next_loads = now + std::max(push_interval, pace);
-    load_push const loads = presence_.loads_since(entry.loads_seen, entry.region);
-    if (!loads.loads.empty())
-        entry.session->send(frame_type::loads, encode(loads));
-}
-
-/// What one entry host needs of the state: all of the configuration, and its own seats.
-fleet_state control_node::state_for(host_name const& host) const
-{
-    fleet_state out{state_.fleet().config, {}};
-    for (auto const& held : state_.fleet().seats)
-        if (held.host == host)
-            out.seats.push_back(held);
-    return out;
-}
-
-void control_node::push_changed_state(instant now)
-{
-    if (pushed_ == state_.version())
-        return;
-    pushed_ = state_.version();
-    for (auto& [session, entry] : entries_)
-        push_to(now, entry);
-}
-
-void control_node::watch_in_force(instant now)
-{
-    bool const waits = std::any_of(acceptances_.begin(), acceptances_.end(),
-                                   [](acceptance const& item) { return !item.in_force; });
-    if (!waits)
-        return;
-    config_version oldest = state_.version();
-    for (auto const& row : presence_.rows())
-        oldest = std::min(oldest, row.version);
-    for (auto& item : acceptances_)
-        if (!item.in_force && item.version <= oldest)
-            item.in_force = now;
-}
-
 bool control_node::submit(operator_request request)
 {
     return operator_ring_.push(std::move(request));
--- a/src/control_node.hpp
+++ b/src/control_node.hpp
@@ -12,8 +12,8 @@
 #include "settings.hpp"
 #include "shift_controller.hpp"
 #include "storage_duty.hpp"
+#include "ticker.hpp"
 
-#include <boost/asio/steady_timer.hpp>
 #include <map>
 #include <memory>
 
@@ -80,7 +80,6 @@
         instant until;
     };
 
-    void schedule_tick();
     void tick(instant now);
     void drive_raft(instant now);
     void release(raft_batch batch);
@@ -117,7 +116,7 @@
 
     daemon_settings settings_;
     duty duty_;
-    boost::asio::steady_timer timer_;
+    ticker ticker_;
     std::unique_ptr<frame_server> server_;
     std::unique_ptr<storage_duty> storage_;
     std::unique_ptr<raft> raft_;
--- /dev/null
+++ b/src/control_presence.cpp
@@ -0,0 +1,174 @@
+// Who of the entry hosts is present, what each is sent, and when a change is in force everywhere.
+#include "codec.hpp"
+#include "control_node.hpp"
+
+#include <algorithm>
+
+namespace guavashed
+{
+namespace
+{
+
+constexpr milliseconds presence_lease{2500};
+constexpr milliseconds push_interval{250};
+/// Time between two loads of one region's hosts, for each host in it.
+constexpr milliseconds load_pace{17};
+/// An entry host may hold its state to be the newest for this long after a fresh replica said so.
+constexpr milliseconds configuration_lease{2000};
+constexpr std::chrono::hours seat_hold{2};
+
+} // namespace
+
+void control_node::seat_hosts(instant now)
+{
+    if (raft_->last_index() != applied_)
+        return;
+    auto const& fleet = state_.fleet();
+    for (auto const& row : presence_.rows())
+    {
+        region_config const* region = find_region(fleet.config, row.region);
+        bool const seated = std::any_of(
+            fleet.seats.begin(), fleet.seats.end(),
+            [&](seat const& item) { return item.host == row.host && item.region == row.region; });
+        if (region == nullptr || seated || row.phase == host_phase::leaving)
+            continue;
+        for (std::uint32_t position = 0; position < region->entry_hosts; ++position)
+        {
+            auto const holder =
+                std::find_if(fleet.seats.begin(), fleet.seats.end(),
+                             [&](seat const& item)
+                             { return item.region == row.region && item.position == position; });
+            bool const held = holder != fleet.seats.end();
+            if (held && std::max(presence_.last_seen(holder->host), led_since_) + seat_hold > now)
+                continue;
+            control_command command;
+            command.kind = control_command_kind::take_seat;
+            command.taken = {row.host, row.region, position};
+            command.at_ms = wall_ms(std::chrono::system_clock::now());
+            propose(command);
+            return;
+        }
+    }
+}
+
+void control_node::on_presence(frame_session_ptr const& session, std::string const& payload)
+{
+    auto row = decode<host_row>(payload, session->peer());
+    if (!row)
+    {
+        ++counters_.bad_frames;
+        return session->close();
+    }
+    instant const now = instant::clock::now();
+    auto const [at, added] = entries_.try_emplace(session.get());
+    entry_session& entry = at->second;
+    entry.session = session;
+    entry.host = row.value().host;
+    entry.region = row.value().region;
+    bool const advanced = entry.acknowledged < row.value().version;
+    entry.acknowledged = row.value().version;
+    entry.sent = std::max(entry.sent, entry.acknowledged);
+    host_row const* known = presence_.find(entry.host);
+    bool const phase_changed = known == nullptr || known->phase != row.value().phase;
+    presence_.renew(now, row.value(), now + presence_lease);
+    if (advanced || phase_changed)
+        share_presence();
+    if (added)
+        push_to(now, entry);
+}
+
+void control_node::on_peer_presence(std::string const& payload)
+{
+    auto said = decode<peer_presence>(payload, "control host");
+    if (!said)
+    {
+        ++counters_.bad_frames;
+        return;
+    }
+    instant const now = instant::clock::now();
+    for (auto const& row : said.value().rows)
+        presence_.renew(now, row, now + presence_lease);
+}
+
+void control_node::share_presence()
+{
+    peer_presence out;
+    for (auto const& [session, entry] : entries_)
+        if (host_row const* row = presence_.find(entry.host))
+            out.rows.push_back(*row);
+    if (out.rows.empty())
+        return;
+    std::string const bytes = encode(out);
+    for (auto& [host, peer] : peers_)
+        peer.link->send(frame_type::peer_presence, bytes);
+}
+
+void control_node::push_to(instant now, entry_session& entry)
+{
+    entry.next_push = now + push_interval;
+    instant const fresh = raft_->fresh_until();
+    if (fresh > now)
+    {
+        configuration_push out;
+        out.version = state_.version();
+        out.lease_left_ms = remaining_ms(std::min(fresh, now + milliseconds(400)), now) +
+                            static_cast<std::uint32_t>(configuration_lease.count());
+        if (entry.sent < state_.version())
+            out.state = state_for(entry.host);
+        entry.sent = state_.version();
+        ++counters_.pushes;
+        if (!entry.session->send(frame_type::configuration, encode(out)))
+            return;
+    }
+    push_view(now, entry);
+}
+
+void control_node::push_view(instant now, entry_session& entry)
+{
+    view_push const view = presence_.changes_since(entry.view_seen);
+    if (view.whole || !view.changed.empty() || !view.gone.empty())
+        entry.session->send(frame_type::view, encode(view));
+    if (now < entry.next_loads)
+        return;
+    // The more hosts a region has, the less often each one's load is sent.
+    auto const pace = load_pace * static_cast<int>(presence_.count_in(entry.region));
+    entry.next_loads = now + std::max(push_interval, pace);
+    load_push const loads = presence_.loads_since(entry.loads_seen, entry.region);
+    if (!loads.loads.empty())
+        entry.session->send(frame_type::loads, encode(loads));
+}
+
+/// What one entry host needs of the state: all of the configuration, and its own seats.
+fleet_state control_node::state_for(host_name const& host) const
+{
+    fleet_state out{state_.fleet().config, {}};
+    for (auto const& held : state_.fleet().seats)
+        if (held.host == host)
+            out.seats.push_back(held);
+    return out;
+}
+
+void control_node::push_changed_state(instant now)
+{
+    if (pushed_ == state_.version())
+        return;
+    pushed_ = state_.version();
+    for (auto& [session, entry] : entries_)
+        push_to(now, entry);
+}
+
+void control_node::watch_in_force(instant now)
+{
+    bool const waits = std::any_of(acceptances_.begin(), acceptances_.end(),
+                                   [](acceptance const& item) { return !item.in_force; });
+    if (!waits)
+        return;
+    config_version oldest = state_.version();
+    for (auto const& row : presence_.rows())
+        oldest = std::min(oldest, row.version);
+    for (auto& item : acceptances_)
+        if (!item.in_force && item.version <= oldest)
+            item.in_force = now;
+}
+
+} // namespace guavashed
--- a/src/endpoint.cpp
+++ b/src/endpoint.cpp
@@ -24,4 +24,20 @@
     return boost::asio::ip::tcp::endpoint(address, static_cast<unsigned short>(port));
 }
 
+result<void> listen_on(boost::asio::ip::tcp::acceptor& acceptor, endpoint_text const& where)
+{
+    BOOST_OUTCOME_TRY(auto const endpoint, parse_endpoint(where));
+    boost::system::error_code code;
+    acceptor.open(endpoint.protocol(), code);
+    if (!code)
+        acceptor.set_option(boost::asio::socket_base::reuse_address(true), code);
+    if (!code)
+        acceptor.bind(endpoint, code);
+    if (!code)
+        acceptor.listen(boost::asio::socket_base::max_listen_connections, code);
+    if (code)
+        return fail(error_code::io_failure, "listen", where.value(), code.message());
+    return boost::outcome_v2::success();
+}
+
 } // namespace guavashed
--- a/src/endpoint.hpp
+++ b/src/endpoint.hpp
@@ -14,4 +14,7 @@
 /// Parses an IP number and port; host names are refused. Thread safe.
 result<boost::asio::ip::tcp::endpoint> parse_endpoint(endpoint_text const& text);
 
+/// Opens, binds and listens; the error names the endpoint. Thread safety: as the acceptor.
+result<void> listen_on(boost::asio::ip::tcp::acceptor& acceptor, endpoint_text const& where);
+
 } // namespace guavashed
--- a/src/entry_core.cpp
+++ b/src/entry_core.cpp
@@ -10,17 +10,12 @@
 namespace
 {
 
-constexpr milliseconds upstream_lease{2000};
-constexpr milliseconds spread_interval{500};
-constexpr milliseconds watch_interval{20};
 constexpr milliseconds claim_limit{1500};
 constexpr milliseconds cancel_settle{100};
 /// Work that must run once is awaited this much past its caller's deadline, to learn its outcome.
 constexpr milliseconds outcome_grace{5000};
 constexpr std::size_t max_recorded_body = 16 * 1024;
-constexpr std::uint32_t max_tries = 3;
 constexpr std::size_t max_requests = 100'000;
-constexpr std::size_t max_others = 4;
 
 } // namespace
 
@@ -544,186 +539,6 @@
     }
 }
 
-void entry_core::expire_waiting(instant now, desk& item)
-{
-    while (auto const expired = item.queue.take_expired(now))
-    {
-        auto const at = requests_.find(expired->id);
-        if (at != requests_.end())
-            refuse(now, at->second, burn_cause::queueing, "its deadline passed while it waited");
-    }
-}
-
-void entry_core::watch_attempts(instant now)
-{
-    std::vector<request_id> late;
-    std::vector<request_id> silent;
-    for (auto const& [id, state] : requests_)
-    {
-        if (state.stage == request_stage::claiming || state.stage == request_stage::queued)
-            continue;
-        if (state.request.deadline <= now && !state.answered)
-            late.push_back(id);
-        else if (state.stage == request_stage::running && state.idempotent &&
-                 state.patience_until <= now && state.tries < max_tries)
-            silent.push_back(id);
-    }
-    for (request_id const id : late)
-    {
-        request_state& state = requests_.at(id);
-        give_answer reply{id, outcome_kind::unknown, 0,
-                          {}, burn_cause::upstream,  "its deadline passed while it ran"};
-        if (state.stage == request_stage::running && !state.idempotent)
-        {
-            // Its outcome is still awaited and recorded; the caller is told what is known now.
-            state.answered = true;
-            ++counters_.unknown;
-            actions_.emplace_back(std::move(reply));
-            continue;
-        }
-        if (state.stage == request_stage::running)
-        {
-            attempts_.at(state.attempt).given_up = true;
-            actions_.emplace_back(cancel_upstream{state.attempt});
-        }
-        else
-        {
-            --outstanding_[state.forwarded_to];
-            actions_.emplace_back(cancel_forward{id, state.forwarded_to});
-        }
-        answer(now, state, std::move(reply));
-    }
-    for (request_id const id : silent)
-    {
-        request_state& state = requests_.at(id);
-        attempt_id const old = state.attempt;
-        state.patience_until = state.request.deadline;
-        state.may_have_run = true;
-        if (!retry(now, state))
-            continue;
-        ++counters_.silent_attempts;
-        actions_.emplace_back(cancel_upstream{old});
-    }
-}
-
-void entry_core::tick(instant now)
-{
-    for (auto& item : desks_)
-    {
-        item->pool.tick(now);
-        expire_waiting(now, *item);
-    }
-    if (now >= next_watch_)
-    {
-        next_watch_ = now + watch_interval;
-        watch_attempts(now);
-    }
-    if (now >= next_spread_)
-    {
-        next_spread_ = now + spread_interval;
-        spread_upstreams(now);
-    }
-    while (!settling_.empty() && settling_.front().until <= now)
-    {
-        free_slot(now, settling_.front(), work_ending::cancelled);
-        settling_.pop_front();
-    }
-    dispatch(now);
-}
-
-bool entry_core::leaves(upstream_name const& name) const
-{
-    auto const& leaving = state_.config.leaving_upstreams;
-    return std::find(leaving.begin(), leaving.end(), name) != leaving.end();
-}
-
-host_row const* entry_core::next_home(upstream_name const& name, service_name const& service) const
-{
-    host_row const* home = choose_home(view_, name, service, settings_.region);
-    if (home != nullptr && home->host != settings_.host)
-        return home;
-    for (auto const& row : view_.rows())
-        if (row.host != settings_.host && row.region == settings_.region &&
-            row.phase == host_phase::serving)
-            return &row;
-    return nullptr;
-}
-
-void entry_core::spread_upstreams(instant now)
-{
-    moves_.clear();
-    host_row const self = row(now);
-    for (auto const& item : desks_)
-    {
-        auto const names = item->pool.renewing();
-        if (names.empty())
-            continue;
-        if (phase_ == host_phase::leaving)
-        {
-            for (auto const& name : names)
-                if (host_row const* home = next_home(name, item->name))
-                    moves_[name] = home->host;
-            continue;
-        }
-        auto const rows = item->pool.rows();
-        std::size_t const draw = random_() % names.size();
-        auto const moved =
-            std::find_if(rows.begin(), rows.end(),
-                         [&](upstream_pool::row const& r) { return r.name == names[draw]; });
-        host_row const* relief = choose_relief(view_, self, item->name, moved->slots);
-        // Several hosts see the same relief: each moves with a chance, so that it is not flooded.
-        if (relief != nullptr && random_() % 2 == 0)
-            moves_[names[draw]] = relief->host;
-    }
-}
-
-announce_answer entry_core::on_announce(instant now, upstream_announcement said, bool redirected)
-{
-    announce_answer out;
-    for (auto const& row : view_.rows())
-        if (row.host != settings_.host && row.region == said.region &&
-            out.others.size() < max_others)
-            out.others.push_back(row.caller_endpoint);
-    said.leaving = said.leaving || leaves(said.name);
-    desk& item = *desks_[desk_of(said.service)];
-    auto const renewing = item.pool.renewing();
-    bool const mine = std::find(renewing.begin(), renewing.end(), said.name) != renewing.end();
-    host_row const* home = nullptr;
-    if (mine)
-    {
-        auto const move = moves_.find(said.name);
-        home = move == moves_.end() || said.leaving ? nullptr : view_.find(move->second);
-        if (home != nullptr)
-        {
-            item.pool.hand_over(said.name);
-            moves_.erase(said.name);
-            note(said.name.value(), "handed over to " + home->host.value(),
-                 phase_ == host_phase::leaving ? "this host is leaving" : "evens out slots");
-        }
-    }
-    else if (!redirected || phase_ != host_phase::serving || said.region != settings_.region)
-        home = choose_home(view_, said.name, said.service, said.region);
-    bool const elsewhere = home != nullptr && home->host != settings_.host;
-    if (elsewhere)
-    {
-        out.home = home->host;
-        out.home_endpoint = home->caller_endpoint;
-        return out;
-    }
-    if (said.region != settings_.region || (phase_ != host_phase::serving && !mine))
-        return out;
-    if (!mine)
-        note(said.name.value(), "homed here",
-             "slots " + std::to_string(said.slots.value()) + ", fenced for " +
-                 std::to_string(said.previous_lease_left.count()) + " ms");
-    item.pool.announce(now, said, now + upstream_lease);
-    out.accepted = true;
-    out.home = settings_.host;
-    out.lease_ms = static_cast<std::uint32_t>(upstream_lease.count());
-    dispatch(now);
-    return out;
-}
-
 void entry_core::on_state(instant now, fleet_state const& state)
 {
     GUAVASHED_INVARIANT(state.config.version > state_.config.version ||
@@ -756,7 +571,10 @@
     dispatch(now);
 }
 
-bool entry_core::on_view(view_push const& push) { return view_.apply(push); }
+bool entry_core::on_view(view_push const& push)
+{
+    return view_.apply(push);
+}
 
 host_row entry_core::row(instant now) const
 {
--- a/src/entry_core.hpp
+++ b/src/entry_core.hpp
@@ -110,6 +110,9 @@
     slot_share const& region_share() const { return region_share_; }
 
 private:
+    /// Times that one request is sent or forwarded at the most.
+    static constexpr std::uint32_t max_tries = 3;
+
     enum class request_stage : std::uint8_t
     {
         claiming,
--- a/src/entry_node.cpp
+++ b/src/entry_node.cpp
@@ -36,7 +36,7 @@
 
 entry_node::entry_node(daemon_settings const& settings)
     : settings_(settings), decision_("decision"), steering_("steering"), caller_("caller"),
-      timer_(decision_.context()),
+      ticker_(decision_, tick_interval, [this](instant now) { tick(now); }),
       front_ring_(decision_, front_capacity,
                   [this](front_event&& event) { on_front(std::move(event)); }),
       operator_ring_(decision_, operator_capacity,
@@ -88,24 +88,11 @@
                                       [this](hub_event&& event) { on_hub(std::move(event)); });
     BOOST_OUTCOME_TRY(hub_->start());
     BOOST_OUTCOME_TRY(server_->listen(settings_.caller_listen));
-    boost::asio::post(decision_.context(), [this] { schedule_tick(); });
+    boost::asio::post(decision_.context(), [this] { ticker_.start(); });
     log_change(log_level::info, "entry_started", "life=" + std::to_string(life_.value()));
     return boost::outcome_v2::success();
 }
 
-void entry_node::schedule_tick()
-{
-    timer_.expires_after(tick_interval);
-    timer_.async_wait(
-        [this](boost::system::error_code code)
-        {
-            if (code)
-                return;
-            tick(instant::clock::now());
-            schedule_tick();
-        });
-}
-
 void entry_node::tick(instant now)
 {
     bool const connected = now < lease_until_;
--- a/src/entry_node.hpp
+++ b/src/entry_node.hpp
@@ -7,9 +7,9 @@
 #include "latency_meter.hpp"
 #include "operator_port.hpp"
 #include "peer_hub.hpp"
+#include "ticker.hpp"
 #include "upstream_sender.hpp"
 
-#include <boost/asio/steady_timer.hpp>
 #include <memory>
 #include <optional>
 
@@ -56,7 +56,6 @@
     void on_forwarded_request(hub_request&& item);
     void on_configuration(configuration_push&& push);
     void on_operator(operator_request&& item);
-    void schedule_tick();
     void tick(instant now);
     void run_actions(instant now);
     void run(instant now, entry_action&& action);
@@ -79,7 +78,7 @@
     duty decision_;
     duty steering_;
     duty caller_;
-    boost::asio::steady_timer timer_;
+    ticker ticker_;
     ring<front_event> front_ring_;
     ring<operator_request> operator_ring_;
     ring<table_order> table_ring_;
--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -44,17 +44,7 @@
 
     result<void> listen(endpoint_text const& where)
     {
-        BOOST_OUTCOME_TRY(auto const endpoint, parse_endpoint(where));
-        boost::system::error_code code;
-        acceptor_.open(endpoint.protocol(), code);
-        if (!code)
-            acceptor_.set_option(asio::socket_base::reuse_address(true), code);
-        if (!code)
-            acceptor_.bind(endpoint, code);
-        if (!code)
-            acceptor_.listen(asio::socket_base::max_listen_connections, code);
-        if (code)
-            return fail(error_code::io_failure, "listen", where.value(), code.message());
+        BOOST_OUTCOME_TRY(listen_on(acceptor_, where));
         accept();
         return boost::outcome_v2::success();
     }
--- a/src/peer_hub.cpp
+++ b/src/peer_hub.cpp
@@ -24,7 +24,7 @@
 peer_hub::peer_hub(daemon_settings const& settings, duty& decision, on_event events)
     : settings_(settings), events_(decision, ring_capacity, std::move(events)), thread_("peer"),
       orders_(thread_, ring_capacity, [this](hub_order&& order) { on_order(std::move(order)); }),
-      timer_(thread_.context())
+      ticker_(thread_, tick_interval, [this](instant now) { tick(now); })
 {
     // Control hosts of the own region first, the rest by rendezvous hashing on this host's name.
     std::uint64_t const self = stable_hash(settings_.name.value());
@@ -64,7 +64,7 @@
                       {
                           for (auto& [host, link] : controls_)
                               link->start();
-                          schedule_tick();
+                          ticker_.start();
                       });
     return boost::outcome_v2::success();
 }
@@ -117,19 +117,6 @@
     learn_neighbours(std::get<hub_neighbours>(order));
 }
 
-void peer_hub::schedule_tick()
-{
-    timer_.expires_after(tick_interval);
-    timer_.async_wait(
-        [this](boost::system::error_code code)
-        {
-            if (code)
-                return;
-            tick(instant::clock::now());
-            schedule_tick();
-        });
-}
-
 void peer_hub::tick(instant now)
 {
     choose_control(now);
--- a/src/peer_hub.hpp
+++ b/src/peer_hub.hpp
@@ -7,8 +7,8 @@
 #include "entry_messages.hpp"
 #include "frame_link.hpp"
 #include "settings.hpp"
+#include "ticker.hpp"
 
-#include <boost/asio/steady_timer.hpp>
 #include <map>
 #include <memory>
 #include <unordered_map>
@@ -112,7 +112,6 @@
 
     void on_order(hub_order&& order);
     void emit(hub_event event);
-    void schedule_tick();
     void tick(instant now);
     frame_client* link_to(host_name const& host);
     void claim(start_claim&& order);
@@ -129,7 +128,7 @@
     ring<hub_event> events_;
     duty thread_;
     ring<hub_order> orders_;
-    boost::asio::steady_timer timer_;
+    ticker ticker_;
     std::unique_ptr<frame_server> server_;
     std::map<host_name, std::unique_ptr<frame_client>> controls_;
     std::map<host_name, std::unique_ptr<frame_client>> entries_;
--- /dev/null
+++ b/src/ticker.hpp
@@ -0,0 +1,48 @@
+/// \file
+/// Defines ticker, which calls a function again and again on a duty's thread.
+#pragma once
+
+#include "duty.hpp"
+#include "instant.hpp"
+
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+
+namespace guavashed
+{
+
+/// Thread safety: construct anywhere, `start` on the duty's thread. Stops with the duty.
+///
+/// Example: `ticker ticker_(decision, milliseconds(5), [this](instant now) { tick(now); });`
+class ticker
+{
+public:
+    using on_tick = std::function<void(instant now)>;
+
+    /// Precondition: `owner` outlives the ticker.
+    ticker(duty& owner, milliseconds interval, on_tick action)
+        : timer_(owner.context()), interval_(interval), action_(std::move(action))
+    {
+    }
+
+    /// Begins; the first call comes one interval later.
+    void start()
+    {
+        timer_.expires_after(interval_);
+        timer_.async_wait(
+            [this](boost::system::error_code code)
+            {
+                if (code)
+                    return;
+                action_(instant::clock::now());
+                start();
+            });
+    }
+
+private:
+    boost::asio::steady_timer timer_;
+    milliseconds interval_;
+    on_tick action_;
+};
+
+} // namespace guavashed
