Fill a disk by a size limit in the test, and ask the leader for status

Cause: the test of a full disk opened /dev/full, whose reads never end: in a fresh clone the test took all memory and did not end (run ended by hand).

Change: the test limits the file's size, and now also checks that what was synced before is read back; it is stricter.

--- a/apps/guavashed.cpp
+++ b/apps/guavashed.cpp
@@ -235,6 +235,26 @@
     return make_plan(client, intent, options.at("--out").asString(), options.at("--json").asBool());
 }
 
+/// The leader's status, which knows most; any control host's when the leader cannot be asked.
+json::object best_status(operator_client& client)
+{
+    json::object const first = ask(client, "GET", "/v1/status");
+    std::string const leader = text_of(first.at("leader"));
+    if (leader.empty() || leader == text_of(first.at("host")))
+        return first;
+    for (auto const& item : first.at("members").as_array())
+    {
+        json::object const& member = item.as_object();
+        if (text_of(member.at("host")) != leader || !member.contains("operator"))
+            continue;
+        auto const answer =
+            client.ask(endpoint_text(text_of(member.at("operator"))), "GET", "/v1/status");
+        if (answer && answer.value().status == 200)
+            return parse_object(answer.value().body, "the leader's answer");
+    }
+    return first;
+}
+
 void print_status(json::object const& status)
 {
     std::cout << "control: " << text_of(status.at("host")) << " is " << text_of(status.at("role"))
@@ -285,7 +305,7 @@
 
 int show_status(operator_client& client, bool as_json)
 {
-    json::object first = ask(client, "GET", "/v1/status");
+    json::object const first = best_status(client);
     if (as_json)
         std::cout << json::serialize(first) << "\n";
     else
--- a/test/error/record_file_test.cpp
+++ b/test/error/record_file_test.cpp
@@ -2,8 +2,10 @@
 #include "record_file.hpp"
 
 #include <catch2/catch.hpp>
+#include <csignal>
 #include <filesystem>
 #include <fstream>
+#include <sys/resource.h>
 #include <unistd.h>
 
 using namespace guavashed;
@@ -11,6 +13,25 @@
 namespace
 {
 
+/// While it lives, a file cannot grow past a size: what a full disk does to a write.
+class file_size_limit
+{
+public:
+    explicit file_size_limit(std::uint64_t bytes)
+    {
+        std::signal(SIGXFSZ, SIG_IGN);
+        ::getrlimit(RLIMIT_FSIZE, &before_);
+        rlimit const limit{bytes, before_.rlim_max};
+        ::setrlimit(RLIMIT_FSIZE, &limit);
+    }
+    file_size_limit(file_size_limit const&) = delete;
+    file_size_limit& operator=(file_size_limit const&) = delete;
+    ~file_size_limit() { ::setrlimit(RLIMIT_FSIZE, &before_); }
+
+private:
+    rlimit before_{};
+};
+
 std::string fresh_folder()
 {
     std::string const out = "/tmp/guavashed-records-" + std::to_string(::getpid());
@@ -85,14 +106,23 @@
     }
     GIVEN("a disk that refuses to write")
     {
-        record_scan none;
-        auto full = record_file::open("/dev/full", none);
-        if (full)
+        record_scan found;
+        auto file = record_file::open(path, found);
+        REQUIRE(file);
         {
-            CHECK_FALSE(full.value().append("x"));
-            THEN("a later sync is never reported as done")
+            file_size_limit const limit(file.value().size() + 5);
+            CHECK_FALSE(file.value().append("four"));
+        }
+        THEN("it accepts nothing more, though there is room again")
+        {
+            CHECK_FALSE(file.value().sync());
+            CHECK_FALSE(file.value().append("five"));
+            AND_THEN("what was synced before is there, and the cut write is not")
             {
-                CHECK_FALSE(full.value().sync());
+                record_scan again;
+                REQUIRE(record_file::open(path, again));
+                CHECK(again.records == std::vector<std::string>{"one", "two", "three"});
+                CHECK(again.torn_bytes == 5);
             }
         }
     }
