Give up sessions that go silent, and shares whose seat may be another's

A session between our processes that something in between had lost track of stayed open for good: an entry host left its control host by the lease, but its claims went on to a dead session. And a host that was cut off for over two hours would have used a share whose seat control may give away.

Ruled out: the system's own keepalive, whose times differ by host.

Change: a session sends a bare header every 2 s and is closed when nothing has arrived for 5 s; the client then connects anew. A host uses its share for 110 minutes after its last lease; control keeps the seat for 120.

--- a/bench/capacity.cpp
+++ b/bench/capacity.cpp
@@ -30,6 +30,9 @@
 constexpr std::size_t site_count = 130;
 constexpr double design_hosts = 1000;
 constexpr std::size_t hosts_per_region = 59;
+constexpr std::size_t frame_header_bytes = 24;
+/// A session carries a header each way every two seconds while it has nothing else to say.
+constexpr double ping_bytes_per_s = 24;
 constexpr double design_blocks = 130'000;
 constexpr double design_changes_per_s = 2300.0 / 86'400;
 constexpr double design_lookups_per_s = 840'000;
@@ -121,7 +124,7 @@
     void on_close(frame_session_ptr const&) override {}
     void on_frame(frame_session_ptr const& session, frame&& item) override
     {
-        received_ += item.payload.size();
+        received_ += item.payload.size() + frame_header_bytes;
         if (item.type != frame_type::configuration)
             return;
         auto push = decode<configuration_push>(item.payload, session->peer());
@@ -146,7 +149,7 @@
             for (auto& load : rows_[i].services)
                 load.in_flight = static_cast<std::uint16_t>(random_() % 12);
             std::string bytes = encode(rows_[i]);
-            sent_ += bytes.size();
+            sent_ += bytes.size() + frame_header_bytes;
             links_[i]->send(frame_type::presence, std::move(bytes));
         }
         timer_.expires_after(presence_interval);
@@ -389,7 +392,8 @@
     std::printf("slope node_bytes_per_s %.0f + %.3f a host\n", bytes.at_zero, bytes.slope);
     std::printf("slope in_force_worst_s %.4f + %.6f a host\n\n", in_force.at_zero, in_force.slope);
 
-    double const change_bytes = node.configuration_bytes * design_changes_per_s;
+    double const change_bytes =
+        node.configuration_bytes * design_changes_per_s + ping_bytes_per_s * design_control_hosts;
     double const rebuilds_per_s = design_changes_per_s + 3 * restarts_per_s;
     double const node_core = rebuilds_per_s * node.rebuild_ms / 10 + node.digest_us / 1e4;
     double const lookups_per_node = design_lookups_per_s / design_hosts;
--- a/src/entry_core.cpp
+++ b/src/entry_core.cpp
@@ -12,6 +12,8 @@
 
 constexpr milliseconds claim_limit{1500};
 constexpr milliseconds cancel_settle{100};
+/// Shorter than the time for which control keeps a seat, by more than clocks differ.
+constexpr std::chrono::minutes seat_use{110};
 /// Work that must run once is awaited this much past its caller's deadline, to learn its outcome.
 constexpr milliseconds outcome_grace{5000};
 constexpr std::size_t max_recorded_body = 16 * 1024;
@@ -562,6 +564,20 @@
     dispatch(now);
 }
 
+void entry_core::on_control_lease(instant now, bool connected)
+{
+    connected_ = connected;
+    if (connected)
+    {
+        bool const ended = seat_until_ != instant() && seat_until_ <= now;
+        seat_until_ = now + seat_use;
+        if (ended)
+            divide_caps();
+    }
+    else if (seat_until_ != instant() && seat_until_ <= now)
+        region_share_.base(slot_count(0));
+}
+
 /// This host's parts of its region's slots and of the links from it.
 void entry_core::divide_caps()
 {
--- a/src/entry_core.hpp
+++ b/src/entry_core.hpp
@@ -83,7 +83,8 @@
     /// This host's seats have changed.
     void on_seats(instant now, std::vector<seat> const& seats);
     /// Control answers (true) or has been silent past the lease (false).
-    void on_control_lease(bool connected) { connected_ = connected; }
+    /// A host that was cut off for so long that its seat may be another's uses no share any more.
+    void on_control_lease(instant now, bool connected);
     /// True when hosts came, went or changed phase.
     bool on_view(view_push const& push);
     void on_loads(load_push const& push) { view_.apply(push); }
@@ -232,6 +233,8 @@
     wall_instant wall_;
     host_phase phase_ = host_phase::starting;
     bool connected_ = false;
+    /// When this host's seat may be given to another, unless control answers before.
+    instant seat_until_;
 };
 
 } // namespace guavashed
--- a/src/entry_node.cpp
+++ b/src/entry_node.cpp
@@ -96,7 +96,7 @@
 void entry_node::tick(instant now)
 {
     bool const connected = now < lease_until_;
-    core_->on_control_lease(connected);
+    core_->on_control_lease(now, connected);
     core_->tick(now);
     run_actions(now);
     if (now >= next_publish_)
--- a/src/frame_link.cpp
+++ b/src/frame_link.cpp
@@ -1,6 +1,7 @@
 #include "frame_link.hpp"
 
 #include "endpoint.hpp"
+#include "instant.hpp"
 
 #include <array>
 #include <boost/asio/connect.hpp>
@@ -26,6 +27,8 @@
 constexpr std::size_t max_hello_bytes = 1024;
 constexpr std::size_t max_queued_bytes = 32 * 1024 * 1024;
 constexpr std::chrono::seconds hello_limit{5};
+constexpr std::chrono::seconds ping_interval{2};
+constexpr std::chrono::seconds silence_limit{5};
 constexpr std::chrono::milliseconds connect_limit{1000};
 constexpr std::chrono::milliseconds first_backoff{50};
 constexpr std::chrono::milliseconds max_backoff{1000};
@@ -76,8 +79,9 @@
 
     tcp_session(tcp::socket socket, frame_handler& handler, frame_identity const& identity,
                 close_action on_closed)
-        : socket_(std::move(socket)), hello_timer_(socket_.get_executor()), handler_(handler),
-          identity_(identity), on_closed_(std::move(on_closed))
+        : socket_(std::move(socket)), hello_timer_(socket_.get_executor()),
+          ping_timer_(socket_.get_executor()), handler_(handler), identity_(identity),
+          on_closed_(std::move(on_closed))
     {
     }
 
@@ -119,6 +123,7 @@
         boost::system::error_code ignored;
         socket_.close(ignored);
         hello_timer_.cancel();
+        ping_timer_.cancel();
         asio::post(socket_.get_executor(),
                    [self = shared_from_this()]
                    {
@@ -196,12 +201,31 @@
         if (XXH3_64bits(payload_.data(), payload_.size()) != header_.checksum)
             return false;
         auto const type = static_cast<frame_type>(header_.type);
+        silent_at_ = instant::clock::now() + silence_limit;
+        if (open_ && type == frame_type::ping)
+            return true;
         if (!open_)
             return type == frame_type::hello && accept_hello();
         handler_.on_frame(shared_from_this(), frame{type, std::move(payload_)});
         return !closed_;
     }
 
+    void schedule_ping()
+    {
+        ping_timer_.expires_after(ping_interval);
+        ping_timer_.async_wait(
+            [weak = weak_from_this()](boost::system::error_code code)
+            {
+                auto const self = weak.lock();
+                if (!self || code || self->closed_)
+                    return;
+                if (instant::clock::now() >= self->silent_at_)
+                    return self->close();
+                self->queue(encode(frame_type::ping, {}));
+                self->schedule_ping();
+            });
+    }
+
     bool accept_hello()
     {
         auto const newline = payload_.find('\n');
@@ -213,12 +237,17 @@
         peer_ = payload_.substr(newline + 1);
         open_ = true;
         hello_timer_.cancel();
+        silent_at_ = instant::clock::now() + silence_limit;
+        schedule_ping();
         handler_.on_open(shared_from_this());
         return true;
     }
 
     tcp::socket socket_;
     asio::steady_timer hello_timer_;
+    asio::steady_timer ping_timer_;
+    /// When the session is given up unless something arrives.
+    instant silent_at_;
     frame_handler& handler_;
     frame_identity identity_;
     close_action on_closed_;
--- a/src/frame_link.hpp
+++ b/src/frame_link.hpp
@@ -27,7 +27,9 @@
     forward_cancel = 11,
     join = 12,
     peer_presence = 13,
-    loads = 14
+    loads = 14,
+    /// Keeps an idle session known to be alive; never given to a handler.
+    ping = 15
 };
 
 struct frame
@@ -36,7 +38,9 @@
     std::string payload;
 };
 
-/// A connected peer. Thread safety: the owning duty's thread only.
+/// A connected peer. A session on which nothing arrives for a while is closed, since something
+/// between the two ends may have lost track of it while new connections work. Thread safety: the
+/// owning duty's thread only.
 class frame_session
 {
 public:
--- a/test/correctness/entry_core_test.cpp
+++ b/test/correctness/entry_core_test.cpp
@@ -75,7 +75,7 @@
     explicit night(std::uint64_t seed) : random_(seed), core_(test_settings(seed), upstream_chart())
     {
         core_.on_state(now(), test_state(1, 6 + seed % 10));
-        core_.on_control_lease(true);
+        core_.on_control_lease(now(), true);
         core_.start_serving();
         view_push view;
         view.whole = true;
@@ -506,6 +506,28 @@
     }
 }
 
+SCENARIO("an entry host that is cut off")
+{
+    entry_core core(test_settings(1), upstream_chart());
+    core.on_state(at_ms(0), test_state());
+    core.on_control_lease(at_ms(0), true);
+    constexpr std::int64_t hour_ms = 3'600'000;
+    slot_count const share = core.region_share().limit(at_ms(0));
+    REQUIRE(share.value() > 0);
+    core.on_control_lease(at_ms(hour_ms), false);
+    THEN("it keeps its share for an hour")
+    {
+        CHECK(core.region_share().limit(at_ms(hour_ms)) == share);
+    }
+    THEN("it uses none once its seat may be another's, and its own again when control answers")
+    {
+        core.on_control_lease(at_ms(2 * hour_ms), false);
+        CHECK(core.region_share().limit(at_ms(2 * hour_ms)) == slot_count(0));
+        core.on_control_lease(at_ms(3 * hour_ms), true);
+        CHECK(core.region_share().limit(at_ms(3 * hour_ms)) == share);
+    }
+}
+
 SCENARIO("random nights at an entry host")
 {
     rc::prop("each request gets one true answer and no slot is overrun or lost",
--- a/test/error/open_port_test.cpp
+++ b/test/error/open_port_test.cpp
@@ -216,6 +216,20 @@
         CHECK(wait_for(handler.frames) == 1);
         other.stop();
     }
+    SECTION("a session that goes silent for good is closed")
+    {
+        boost::asio::io_context context;
+        tcp::socket socket(context);
+        socket.connect({boost::asio::ip::make_address("127.0.0.1"), frame_port});
+        // The server's own hello is a valid one: sent back, it opens the session.
+        std::array<char, 24 + 28> hello;
+        boost::asio::read(socket, boost::asio::buffer(hello));
+        boost::asio::write(socket, boost::asio::buffer(hello));
+        REQUIRE(wait_for(handler.opened) == 1);
+        for (int i = 0; i < 100 && handler.closed == 0; ++i)
+            std::this_thread::sleep_for(milliseconds(100));
+        CHECK(handler.closed == 1);
+    }
     owner.stop();
 }
 
