--- a/apps/guavashed.cpp
+++ b/apps/guavashed.cpp
@@ -238,7 +238,7 @@
 /// The leader's status, which knows most; any control host's when the leader cannot be asked.
 json::object best_status(operator_client& client)
 {
-    json::object const first = ask(client, "GET", "/v1/status");
+    json::object first = ask(client, "GET", "/v1/status");
     std::string const leader = text_of(first.at("leader"));
     if (leader.empty() || leader == text_of(first.at("host")))
         return first;
--- a/src/entry_front.cpp
+++ b/src/entry_front.cpp
@@ -91,7 +91,7 @@
     if (path == "/v1/entry" && request.method == "GET")
         return lookup(request, *exchange);
     if (path.starts_with(call_prefix) && request.method == "POST")
-        return call(std::move(request), std::move(exchange));
+        return call(std::move(request), exchange);
     if (path == "/v1/announce" && request.method == "POST")
         return announce(request, std::move(exchange));
     refuse(*exchange, 404, "no " + request.method + " " + std::string(path) + " on this port");
