--- a/src/entry_core.cpp
+++ b/src/entry_core.cpp
@@ -324,8 +324,9 @@
     state.patience_until = now + desks_[state.desk]->pool.patience();
     instant const until =
         state.idempotent ? state.request.deadline : state.request.deadline + outcome_grace;
-    actions_.emplace_back(send_upstream{state.request.id, attempt, pick.endpoint, pick.name,
-                                        state.request.kind, until, !state.idempotent});
+    actions_.emplace_back(
+        send_upstream{state.request.id, attempt, pick.endpoint, pick.name, state.request.kind,
+                      until, std::min(pick.lease_until, now + send_limit), !state.idempotent});
     note(std::to_string(state.request.id.value()), "sent to " + pick.name.value(),
          "slots in use " + std::to_string(desks_[state.desk]->pool.in_flight().value()));
 }
--- a/src/entry_core.hpp
+++ b/src/entry_core.hpp
@@ -115,6 +115,8 @@
 private:
     /// Times that one request is sent or forwarded at the most.
     static constexpr std::uint32_t max_tries = 3;
+    /// Work is sent within this time of its decision, or not at all.
+    static constexpr milliseconds send_limit{250};
 
     enum class request_stage : std::uint8_t
     {
@@ -179,6 +181,13 @@
         microseconds took{0};
     };
 
+    /// An acceptance that was sent to an upstream; the lease that it gives runs from then.
+    struct sent_acceptance
+    {
+        std::uint64_t number = 0;
+        instant sent;
+    };
+
     using request_map = std::unordered_map<request_id, request_state>;
 
     std::unique_ptr<dispatch_order> make_order(service_config const& config) const;
@@ -203,6 +212,9 @@
     void on_answered(instant now, request_state& state, attempt_result& result);
     void expire_waiting(instant now, desk& item);
     void watch_attempts(instant now);
+    /// End of the lease that the quoted acceptance gives; `now` when it gives none.
+    instant lease_of(instant now, upstream_announcement const& said) const;
+    std::uint64_t accept(instant now, upstream_name const& name);
     void spread_upstreams(instant now);
     bool leaves(upstream_name const& name) const;
     host_row const* next_home(upstream_name const& name, service_name const& service) const;
@@ -218,6 +230,7 @@
     std::unordered_map<host_name, std::uint32_t> outstanding_;
     std::unordered_map<region_name, byte_share> links_;
     std::unordered_map<upstream_name, host_name> moves_;
+    std::unordered_map<upstream_name, std::deque<sent_acceptance>> acceptances_;
     std::deque<settling_slot> settling_;
     slot_share region_share_;
     retry_budget retries_;
--- a/src/entry_front.cpp
+++ b/src/entry_front.cpp
@@ -232,6 +232,7 @@
     out.in_flight_elsewhere = slot_count(static_cast<std::uint32_t>(elsewhere));
     BOOST_OUTCOME_TRY(auto const fence, number_at(object, "previous_lease_left_ms", 0, 60'000));
     out.previous_lease_left = milliseconds(fence);
+    BOOST_OUTCOME_TRY(out.acceptance, number_at(object, "acceptance", 0, ~std::uint64_t{0}));
     out.cold = flag_at(object, "cold");
     out.leaving = flag_at(object, "leaving");
     return out;
--- a/src/entry_messages.hpp
+++ b/src/entry_messages.hpp
@@ -76,6 +76,8 @@
     upstream_name upstream;
     work_kind_name kind;
     instant deadline;
+    /// Later than this the upstream may have another home: it is then not sent.
+    instant send_by;
     bool fresh_connection = false;
 };
 
@@ -124,8 +126,11 @@
 struct announce_answer
 {
     bool accepted = false;
+    /// To be quoted in the next announcement.
+    std::uint64_t acceptance = 0;
     host_name home;
     endpoint_text home_endpoint;
+    /// How long this host may still send work: as the home, or, handing over, what is on its way.
     std::uint32_t lease_ms = 0;
     /// Other entry hosts that the upstream may turn to.
     std::vector<endpoint_text> others;
--- a/src/entry_node.cpp
+++ b/src/entry_node.cpp
@@ -138,11 +138,10 @@
         json::array others;
         for (auto const& other : answer.others)
             others.emplace_back(other.value());
-        json::object const body{{"accepted", answer.accepted},
-                                {"home", answer.home.value()},
-                                {"home_address", answer.home_endpoint.value()},
-                                {"lease_ms", answer.lease_ms},
-                                {"others", others}};
+        json::object const body{
+            {"accepted", answer.accepted}, {"acceptance", answer.acceptance},
+            {"home", answer.home.value()}, {"home_address", answer.home_endpoint.value()},
+            {"lease_ms", answer.lease_ms}, {"others", others}};
         item.exchange->respond(json_response(200, json::serialize(body)));
     }
     run_actions(now);
--- a/src/entry_upstreams.cpp
+++ b/src/entry_upstreams.cpp
@@ -10,6 +10,10 @@
 {
 
 constexpr milliseconds upstream_lease{2000};
+/// Acceptances that may be quoted at any time; upstreams renew five times in a lease.
+constexpr std::size_t max_acceptances = 16;
+/// Time on the way to an upstream, beyond the time in which work is sent.
+constexpr milliseconds send_margin{100};
 constexpr std::size_t max_others = 4;
 
 } // namespace
@@ -60,6 +64,25 @@
     }
 }
 
+instant entry_core::lease_of(instant now, upstream_announcement const& said) const
+{
+    auto const held = acceptances_.find(said.name);
+    if (held != acceptances_.end())
+        for (auto const& item : held->second)
+            if (item.number == said.acceptance)
+                return item.sent + upstream_lease;
+    return now;
+}
+
+std::uint64_t entry_core::accept(instant now, upstream_name const& name)
+{
+    auto& held = acceptances_[name];
+    held.push_back({next_attempt_++, now});
+    if (held.size() > max_acceptances)
+        held.pop_front();
+    return held.back().number;
+}
+
 announce_answer entry_core::on_announce(instant now, upstream_announcement said, bool redirected)
 {
     announce_answer out;
@@ -79,6 +102,7 @@
         if (home != nullptr)
         {
             item.pool.hand_over(said.name);
+            out.lease_ms = static_cast<std::uint32_t>((send_limit + send_margin).count());
             moves_.erase(said.name);
             note(said.name.value(), "handed over to " + home->host.value(),
                  phase_ == host_phase::leaving ? "this host is leaving" : "evens out slots");
@@ -99,7 +123,8 @@
         note(said.name.value(), "homed here",
              "slots " + std::to_string(said.slots.value()) + ", fenced for " +
                  std::to_string(said.previous_lease_left.count()) + " ms");
-    item.pool.announce(now, said, now + upstream_lease);
+    item.pool.announce(now, said, lease_of(now, said));
+    out.acceptance = accept(now, said.name);
     out.accepted = true;
     out.home = settings_.host;
     out.lease_ms = static_cast<std::uint32_t>(upstream_lease.count());
--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -143,6 +143,11 @@
 
     void write()
     {
+        // The process may have stood still since the call was decided.
+        if (instant::clock::now() > call_.send_by)
+            return finish_failed(send_stage::unsent,
+                                 fail(error_code::expired, "send", call_.endpoint.value(),
+                                      "it is too late to send it"));
         connection_->stream.expires_at(call_.deadline);
         http::async_write(connection_->stream, message_,
                           [self = shared_from_this()](beast::error_code code, std::size_t)
--- a/src/http_client.hpp
+++ b/src/http_client.hpp
@@ -28,6 +28,8 @@
     http_request request;
     /// When the call is given up; its connection is then closed, never reused.
     instant deadline;
+    /// A call whose first byte has not left by then is not sent at all.
+    instant send_by = instant::max();
     /// A kept-alive connection may be stale; work that must run at most once takes a fresh one.
     bool fresh_connection = false;
     /// When set, an answer counts only if its X-Request-Id is this; any other answer is not ours,
--- a/src/upstream_pool.cpp
+++ b/src/upstream_pool.cpp
@@ -127,7 +127,7 @@
 
 std::uint32_t upstream_pool::allowed_slots(member const& item, instant now) const
 {
-    if (now >= item.lease_until)
+    if (now >= item.lease_until || now < item.fence_until)
         return 0;
     switch (item.life.state())
     {
@@ -172,7 +172,7 @@
         << "upstream " << best->said.name << " in state " << best->life.name() << " holds "
         << best->in_flight << " of " << best->said.slots << " slots";
     return upstream_pick{static_cast<std::size_t>(best - members_.data()), best->said.endpoint,
-                         best->said.name};
+                         best->said.name, best->lease_until};
 }
 
 void upstream_pool::release(instant now, std::size_t position, work_ending ending,
--- a/src/upstream_pool.hpp
+++ b/src/upstream_pool.hpp
@@ -65,6 +65,9 @@
     microseconds reported_service{0};
     bool cold = false;
     bool leaving = false;
+    /// The newest acceptance that it has received from this home, 0 for none: a lease runs from
+    /// when the home sent that one, so that an announcement held up on its way renews nothing.
+    std::uint64_t acceptance = 0;
 };
 
 /// How one piece of work ended, as far as the upstream's health goes.
@@ -82,6 +85,8 @@
     std::size_t position = 0;
     endpoint_text endpoint;
     upstream_name name;
+    /// When this home must stop sending to it.
+    instant lease_until;
 };
 
 /// Thread safety: none; one decision duty owns it. Example: `if (auto pick = pool.pick(now)) ...`
--- a/src/upstream_sender.cpp
+++ b/src/upstream_sender.cpp
@@ -59,6 +59,7 @@
     http_call call;
     call.endpoint = work.order.endpoint;
     call.deadline = work.order.deadline;
+    call.send_by = work.order.send_by;
     call.fresh_connection = work.order.fresh_connection;
     call.request.method = "POST";
     call.request.target = "/work/" + work.order.kind.value();
--- a/standin/upstream.hpp
+++ b/standin/upstream.hpp
@@ -89,6 +89,7 @@
     std::string target_;
     std::string home_;
     std::string home_name_;
+    std::uint64_t acceptance_ = 0;
     std::vector<std::string> others_;
     bool redirected_ = false;
     guavashed::instant lease_until_;
--- a/test/error/open_port_test.cpp
+++ b/test/error/open_port_test.cpp
@@ -147,6 +147,14 @@
         CHECK_FALSE(outcome.response);
         CHECK(outcome.stage == send_stage::unsent);
     }
+    SECTION("a call that was held up past its time is not sent")
+    {
+        http_call late = call_to(http_port, 1000);
+        late.send_by = instant::clock::now() - milliseconds(1);
+        auto const outcome = call(client_duty, client, late);
+        CHECK_FALSE(outcome.response);
+        CHECK(outcome.stage == send_stage::unsent);
+    }
     SECTION("an answer that belongs to another request is no answer")
     {
         http_call request = call_to(http_port, 1000);
