--- a/apps/guavashedd.cpp
+++ b/apps/guavashedd.cpp
@@ -106,5 +106,7 @@
         std::cout << "settings are valid\n";
         return 0;
     }
-    return run(parsed.value().settings);
+    int const code = run(parsed.value().settings);
+    stop_log();
+    return code;
 }
--- /dev/null
+++ b/src/fleet/fleet_register.cpp
@@ -0,0 +1,233 @@
+#include "fleet/fleet_register.hpp"
+
+#include "codec.hpp"
+#include "invariant.hpp"
+
+#include <algorithm>
+
+namespace guavashed
+{
+namespace
+{
+
+/// Orders remembered for resends; a day has hundreds of changes.
+constexpr std::size_t max_accepted_orders = 4096;
+/// Departed upstreams remembered, so that late announcements do not bring them back.
+constexpr std::size_t max_departures = 4096;
+/// An announcement that differs by less in its cold time tells nothing new.
+constexpr milliseconds cold_tolerance{700};
+/// Upstreams of a restored failure domain may have turned cold since they announced themselves
+/// last; one announcement interval and its way cover that.
+constexpr milliseconds restore_margin{2000};
+
+} // namespace
+
+register_outcome fleet_register::apply(log_index index, register_command const& command,
+                                       instant now)
+{
+    switch (command.kind)
+    {
+    case register_command_kind::configure:
+        return configure(index, command);
+    case register_command_kind::announce:
+        announce(index, command, now);
+        break;
+    case register_command_kind::leave:
+        depart(index, command.upstream.id, command.upstream.born_ms, false);
+        break;
+    case register_command_kind::forget:
+        depart(index, command.upstream.id, command.upstream.born_ms, true);
+        break;
+    case register_command_kind::evacuate:
+        if (evacuated_.insert(command.domain).second)
+            changed_ = index;
+        break;
+    case register_command_kind::restore:
+        restore(index, command.domain, now);
+        break;
+    }
+    return register_outcome::accepted;
+}
+
+std::optional<register_outcome> fleet_register::outcome_of(std::uint64_t order_hash) const
+{
+    if (accepted_.contains(order_hash))
+        return register_outcome::accepted;
+    return std::nullopt;
+}
+
+register_outcome fleet_register::configure(log_index index, register_command const& command)
+{
+    if (accepted_.contains(command.order_hash))
+        return register_outcome::accepted;
+    if (command.base != config_.version)
+        return register_outcome::conflict;
+    if (command.config.version <= config_.version)
+        return register_outcome::stale_version;
+    config_ = command.config;
+    document_ = command.document;
+    config_changed_ = index;
+    changed_ = index;
+    accepted_.insert(command.order_hash);
+    accepted_order_.push_back(command.order_hash);
+    if (accepted_order_.size() > max_accepted_orders)
+    {
+        accepted_.erase(accepted_order_.front());
+        accepted_order_.erase(accepted_order_.begin());
+    }
+    return register_outcome::accepted;
+}
+
+bool fleet_register::claims_address(register_command const& command, log_index index)
+{
+    upstream_row const& row = command.upstream;
+    std::vector<std::pair<upstream_name, std::int64_t>> replaced;
+    for (auto const& [id, held] : upstreams_)
+    {
+        if (id == row.id || held.row.address != row.address)
+            continue;
+        // A late announcement of a life that ended must not displace its successor.
+        if (held.row.born_ms > row.born_ms)
+            return false;
+        replaced.emplace_back(id, held.row.born_ms);
+    }
+    for (auto const& [id, born_ms] : replaced)
+        depart(index, id, born_ms, false);
+    return true;
+}
+
+void fleet_register::announce(log_index index, register_command const& command, instant now)
+{
+    upstream_row const& row = command.upstream;
+    auto const gone = departures_.find(row.id);
+    if (gone != departures_.end())
+    {
+        bool const later_life = row.born_ms > gone->second.born_ms;
+        bool const same_life = row.born_ms == gone->second.born_ms;
+        if (!later_life && !(same_life && gone->second.may_return))
+            return;
+    }
+    auto held = upstreams_.find(row.id);
+    if (held != upstreams_.end())
+    {
+        registered_upstream const& known = held->second;
+        bool const older = row.born_ms < known.row.born_ms ||
+                           (row.born_ms == known.row.born_ms && command.sequence < known.sequence);
+        if (older)
+            return;
+    }
+    if (!claims_address(command, index))
+        return;
+    if (gone != departures_.end())
+        departures_.erase(row.id);
+    registered_upstream& entry = upstreams_[row.id];
+    bool const leaving = entry.row.draining && entry.row.born_ms == row.born_ms;
+    entry.row = row;
+    entry.row.draining = row.draining || leaving;
+    entry.sequence = command.sequence;
+    entry.changed = index;
+    changed_ = index;
+    if (command.cold_left_ms > 0)
+    {
+        ++entry.cold_epoch;
+        cold_until_[row.id] = now + milliseconds(command.cold_left_ms);
+    }
+    else
+        cold_until_.erase(row.id);
+}
+
+void fleet_register::depart(log_index index, upstream_name const& id, std::int64_t born_ms,
+                            bool may_return)
+{
+    auto const held = upstreams_.find(id);
+    if (held != upstreams_.end())
+    {
+        if (held->second.row.born_ms > born_ms && born_ms != 0)
+            return;
+        if (may_return && held->second.row.born_ms != born_ms)
+            return;
+        born_ms = held->second.row.born_ms;
+        upstreams_.erase(held);
+        cold_until_.erase(id);
+    }
+    else if (may_return)
+        return;
+    departures_[id] = {born_ms, index, may_return};
+    changed_ = index;
+    trim();
+}
+
+void fleet_register::restore(log_index index, failure_domain_name const& domain, instant now)
+{
+    if (evacuated_.erase(domain) == 0)
+        return;
+    changed_ = index;
+    for (auto& [id, held] : upstreams_)
+    {
+        if (held.row.domain != domain)
+            continue;
+        routed_service const* service = config_.find_service(held.row.service);
+        double const warmup_s = service == nullptr ? 0 : service->warmup_s;
+        cold_until_[id] =
+            now + milliseconds(static_cast<std::int64_t>(warmup_s * 1000)) + restore_margin;
+        held.changed = index;
+    }
+}
+
+void fleet_register::trim()
+{
+    while (departures_.size() > max_departures)
+    {
+        auto const oldest = std::min_element(departures_.begin(), departures_.end(),
+                                             [](auto const& left, auto const& right) {
+                                                 return left.second.changed < right.second.changed;
+                                             });
+        departures_.erase(oldest);
+    }
+}
+
+bool fleet_register::reflects(upstream_row const& row, std::uint32_t cold_left_ms,
+                              instant now) const
+{
+    auto const gone = departures_.find(row.id);
+    if (gone != departures_.end() && !gone->second.may_return &&
+        row.born_ms <= gone->second.born_ms)
+        return true;
+    auto const held = upstreams_.find(row.id);
+    if (held == upstreams_.end())
+        return false;
+    if (row.born_ms < held->second.row.born_ms)
+        return true;
+    upstream_row known = held->second.row;
+    if (known.draining && !row.draining && known.born_ms == row.born_ms)
+        known.draining = false;
+    if (!(known == row))
+        return false;
+    milliseconds const told(cold_left_ms);
+    milliseconds const believed(this->cold_left_ms(row.id, now));
+    bool const colder = told > believed + cold_tolerance;
+    return !colder;
+}
+
+std::uint32_t fleet_register::cold_left_ms(upstream_name const& id, instant now) const
+{
+    auto const at = cold_until_.find(id);
+    return at == cold_until_.end() ? 0 : remaining_ms(at->second, now);
+}
+
+std::string fleet_register::save() const
+{
+    return encode(*this);
+}
+
+result<void> fleet_register::load(std::string const& bytes)
+{
+    if (bytes.empty())
+        return boost::outcome_v2::success();
+    BOOST_OUTCOME_TRY(auto loaded, decode<fleet_register>(bytes, "snapshot"));
+    loaded.cold_until_ = std::move(cold_until_);
+    *this = std::move(loaded);
+    return boost::outcome_v2::success();
+}
+
+} // namespace guavashed
--- /dev/null
+++ b/src/fleet/gateway_calls.cpp
@@ -0,0 +1,266 @@
+// What becomes of one caller's request.
+#include "fleet/gateway_node.hpp"
+#include "invariant.hpp"
+#include "log.hpp"
+
+#include <algorithm>
+
+namespace guavashed
+{
+namespace
+{
+
+/// Waits of callers that state none, and that no route bounds.
+constexpr milliseconds default_deadline{30000};
+/// A connection that takes longer has most likely lost its first packet, or its host.
+constexpr milliseconds connect_limit{350};
+/// Connections to upstreams that failed before a byte was sent, for one request.
+constexpr std::uint32_t max_unreachable = 4;
+/// Requests that run at most once take a kept connection only if it was used this recently, since
+/// one that the upstream is about to close would leave the outcome unknown.
+constexpr milliseconds recent_use{2000};
+/// When to come back after a refusal.
+constexpr std::uint32_t starting_retry_ms = 300;
+constexpr std::uint32_t busy_retry_ms = 400;
+constexpr std::uint32_t leaving_retry_ms = 100;
+
+double ms_between(instant from, instant to)
+{
+    return std::chrono::duration<double, std::milli>(to - from).count();
+}
+
+std::string whole(double value)
+{
+    return std::to_string(static_cast<std::int64_t>(value));
+}
+
+} // namespace
+
+void gateway_node::on_request(http_request request, std::shared_ptr<http_exchange> exchange)
+{
+    ++counters_.requests;
+    ++in_flight_;
+    auto item = std::make_shared<call>();
+    item->arrived = instant::clock::now();
+    item->facts = protocol_.read_call(request);
+    item->request = std::move(request);
+    item->exchange = std::move(exchange);
+    item->table = table_;
+    item->exchange->when_abandoned([this, item] { on_abandoned(item); });
+    route_call(item);
+}
+
+void gateway_node::route_call(call_ptr const& item)
+{
+    if (!item->table)
+        return refuse(item, "no configuration yet", starting_retry_ms);
+    if (item->arrived >= refuse_from_)
+        return refuse(item, "this host is leaving", leaving_retry_ms);
+    item->route = item->table->find(item->facts.host, path_of(item->request.target));
+    if (item->route == nullptr)
+        return answer(item, protocol_.own_answer(404, item->facts.id, "no route matches", 0),
+                      "no_route", "host=" + item->facts.host);
+    item->service = item->table->next_service(*item->route);
+    instant const by_caller =
+        item->arrived +
+        (item->facts.deadline_ms ? milliseconds(*item->facts.deadline_ms) : default_deadline);
+    item->deadline = std::min(by_caller, item->arrived + milliseconds(item->route->timeout_ms));
+    attempt(item);
+}
+
+void gateway_node::attempt(call_ptr const& item)
+{
+    instant const now = instant::clock::now();
+    no_pick why_not = no_pick::none_usable;
+    auto const chosen = board_.choose(
+        {*item->route, item->service, item->facts.object, item->tried, item->deadline}, now,
+        why_not);
+    if (!chosen)
+    {
+        bool const late = why_not == no_pick::too_late;
+        return give_up(
+            item, item->may_have_run ? attempt_verdict::may_have_run : attempt_verdict::not_run,
+            false, late ? "would be too late" : "no upstream is usable");
+    }
+    item->chosen = *chosen;
+    item->sent_at = now;
+    item->tried.insert(chosen->id);
+    ++counters_.attempts;
+    http_call order;
+    order.endpoint = chosen->address;
+    order.request = protocol_.forward(item->request, chosen->id, remaining_ms(item->deadline, now));
+    order.deadline = item->deadline;
+    order.send_by = item->deadline;
+    order.connect_by = now + connect_limit;
+    order.expected_id = item->facts.id;
+    order.id_field = protocol_.id_field();
+    if (!item->route->idempotent)
+        order.idle_since = now - recent_use;
+    item->running = client_.start(std::move(order), [this, item](http_outcome outcome)
+                                  { on_attempt_end(item, std::move(outcome)); });
+}
+
+attempt_end gateway_node::describe(http_outcome const& outcome, answer_facts const& facts,
+                                   bool timed_out) const
+{
+    attempt_end end;
+    end.unsent = outcome.stage == send_stage::unsent;
+    end.answered = outcome.response.has_value();
+    end.status = end.answered ? outcome.response->status : 0;
+    end.is_signed = facts.is_signed;
+    end.not_executed = facts.not_executed;
+    end.timed_out = timed_out;
+    return end;
+}
+
+void gateway_node::on_attempt_end(call_ptr const& item, http_outcome&& outcome)
+{
+    instant const now = instant::clock::now();
+    item->running = 0;
+    answer_facts facts;
+    if (outcome.response)
+        facts = protocol_.read_answer(*outcome.response);
+    attempt_end const end = describe(outcome, facts, now >= item->deadline);
+    attempt_verdict const verdict = judge(end);
+    report_attempt(item, outcome, end, facts, verdict, now);
+    if (item->finished)
+        return;
+    if (verdict == attempt_verdict::relay)
+    {
+        ++counters_.relayed;
+        return answer(item, protocol_.relay(std::move(*outcome.response)), "relayed", "");
+    }
+    if (verdict == attempt_verdict::may_have_run)
+        item->may_have_run = true;
+    if (end.unsent)
+        ++item->unreachable;
+    else
+        ++item->attempts;
+    if (may_try_again(*item, verdict, end.unsent, now))
+        return attempt(item);
+    // A failure that the upstream itself gave is its answer.
+    bool const own_failure =
+        end.answered && verdict == attempt_verdict::may_have_run && end.status >= 500;
+    if (own_failure)
+        return answer(item, protocol_.relay(std::move(*outcome.response)), "upstream_failed", "");
+    std::string const reason = outcome.response ? "upstream answered " + std::to_string(end.status)
+                                                : to_string(outcome.cause);
+    give_up(item, item->may_have_run ? attempt_verdict::may_have_run : attempt_verdict::not_run,
+            end.timed_out, reason);
+}
+
+void gateway_node::report_attempt(call_ptr const& item, http_outcome const& outcome,
+                                  attempt_end const& end, answer_facts const& facts,
+                                  attempt_verdict verdict, instant now)
+{
+    attempt_report report;
+    report.took_ms = ms_between(item->sent_at, now);
+    report.load = facts.load;
+    report.cold_left_ms = facts.cold_left_ms;
+    if (outcome.connected_in)
+        report.connect_ms =
+            std::chrono::duration<double, std::milli>(*outcome.connected_in).count();
+    if (item->finished || (end.timed_out && !end.answered))
+        report.result = attempt_result::abandoned;
+    else if (end.unsent)
+        report.result = attempt_result::unreachable;
+    else if (end.answered && end.status == 421)
+        report.result = attempt_result::misdirected;
+    else if (verdict == attempt_verdict::not_run)
+        report.result = attempt_result::shed;
+    else if (verdict == attempt_verdict::may_have_run)
+        report.result = attempt_result::failed;
+    board_.report(item->chosen, item->route->name, report, now);
+}
+
+bool gateway_node::may_try_again(call const& item, attempt_verdict verdict, bool unsent,
+                                 instant now)
+{
+    if (now >= item.deadline)
+        return false;
+    if (verdict == attempt_verdict::may_have_run && !item.route->idempotent)
+        return false;
+    if (unsent)
+        return item.unreachable < max_unreachable;
+    if (item.attempts >= item.route->max_attempts)
+        return false;
+    bool const allowed = allowance_of(item.service).spend();
+    if (allowed)
+        ++counters_.second_attempts;
+    return allowed;
+}
+
+void gateway_node::on_abandoned(call_ptr const& item)
+{
+    if (item->finished)
+        return;
+    item->finished = true;
+    --in_flight_;
+    ++counters_.abandoned;
+    log_request("request", "id=" + item->facts.id + " outcome=abandoned took_ms=" +
+                               whole(ms_between(item->arrived, instant::clock::now())) +
+                               " attempts=" + std::to_string(item->attempts));
+    if (item->running != 0)
+        client_.cancel(item->running);
+}
+
+void gateway_node::give_up(call_ptr const& item, attempt_verdict verdict, bool timed_out,
+                           std::string const& reason)
+{
+    if (verdict == attempt_verdict::not_run)
+        return refuse(item, reason, busy_retry_ms);
+    GUAVASHED_INVARIANT(item->may_have_run) << "request " << item->facts.id;
+    if (timed_out)
+    {
+        ++counters_.timed_out;
+        return answer(item, protocol_.own_answer(504, item->facts.id, reason, 0), "timed_out",
+                      reason);
+    }
+    ++counters_.failed;
+    answer(item, protocol_.own_answer(502, item->facts.id, reason, 0), "failed", reason);
+}
+
+void gateway_node::refuse(call_ptr const& item, std::string const& reason,
+                          std::uint32_t retry_after_ms)
+{
+    GUAVASHED_INVARIANT(!item->may_have_run)
+        << "request " << item->facts.id << " would be called not run";
+    ++counters_.refused;
+    answer(item, protocol_.own_answer(503, item->facts.id, reason, retry_after_ms), "refused",
+           reason);
+}
+
+void gateway_node::answer(call_ptr const& item, http_response response, char const* outcome,
+                          std::string const& reason)
+{
+    if (item->finished)
+        return;
+    item->finished = true;
+    --in_flight_;
+    double const took = ms_between(item->arrived, instant::clock::now());
+    auto const bucket = std::lower_bound(bucket_ms.begin(), bucket_ms.end(), took);
+    ++latencies_[static_cast<std::size_t>(bucket - bucket_ms.begin())];
+    latency_sum_ms_ += took;
+    unsigned const status = response.status;
+    // The exchange is handed the answer last: it may run the next request of its connection.
+    std::string line = "id=" + item->facts.id + " outcome=" + outcome +
+                       " status=" + std::to_string(status) + " took_ms=" + whole(took);
+    if (item->route != nullptr)
+        line += " route=" + item->route->name + " service=" + item->service.value() +
+                " version=" + std::to_string(item->table->config().version.value()) +
+                " view=" + std::to_string(view_index_) +
+                " attempts=" + std::to_string(item->attempts) +
+                " left_ms=" + std::to_string(remaining_ms(item->deadline, instant::clock::now()));
+    if (!item->tried.empty())
+        line += " upstream=" + item->chosen.id.value() +
+                " place=" + std::to_string(item->chosen.place) +
+                " predicted_ms=" + whole(item->chosen.predicted_ms) +
+                " wait_ms=" + whole(item->chosen.wait_ms);
+    if (!reason.empty())
+        line += " reason=\"" + reason + "\"";
+    log_request("request", line);
+    item->exchange->respond(std::move(response));
+    item->exchange.reset();
+}
+
+} // namespace guavashed
--- /dev/null
+++ b/src/fleet/gateway_node.cpp
@@ -0,0 +1,275 @@
+#include "fleet/gateway_node.hpp"
+
+#include "codec.hpp"
+#include "fleet/gateway_readiness.hpp"
+#include "invariant.hpp"
+#include "log.hpp"
+
+#include <algorithm>
+#include <future>
+#include <random>
+
+namespace guavashed
+{
+namespace
+{
+
+constexpr milliseconds tick_interval{100};
+constexpr milliseconds report_interval{500};
+/// After the notice of a stop, callers are still served for so long: they keep the answers of
+/// look-ups for a while. What comes later is refused, so that the work under way can end.
+constexpr milliseconds serve_after_notice{2800};
+/// Control hosts that are not in the newest list are dropped after a push from another one.
+constexpr std::size_t max_controls = 18;
+/// A part of the fleet's budget stays unspent, for hosts that have just come.
+constexpr double budget_part = 0.5;
+
+} // namespace
+
+gateway_node::gateway_node(gateway_settings settings, call_protocol const& protocol)
+    : settings_(std::move(settings)), protocol_(protocol), duty_("entry"),
+      ticker_(duty_, tick_interval, [this](instant now) { tick(now); }), client_(duty_),
+      board_({settings_.name, settings_.region, settings_.domain, settings_.regions},
+             std::random_device{}())
+{
+}
+
+gateway_node::~gateway_node()
+{
+    stop();
+}
+
+result<void> gateway_node::start()
+{
+    http_server_limits limits;
+    limits.max_connections = settings_.max_connections;
+    callers_ = std::make_unique<http_server>(duty_, *this, limits);
+    BOOST_OUTCOME_TRY(callers_->listen(settings_.caller_listen));
+    readiness_ = std::make_unique<readiness>(
+        duty_, [this] { return is_ready(); }, [this] { return metrics(); });
+    BOOST_OUTCOME_TRY(readiness_->listen(settings_.readiness_listen));
+    boost::asio::post(duty_.context(),
+                      [this]
+                      {
+                          for (auto const& seed : settings_.seeds)
+                              link_to(seed);
+                          ticker_.start();
+                      });
+    log_change(log_level::info, "entry_started",
+               "callers=" + settings_.caller_listen.value() +
+                   " domain=" + settings_.domain.value());
+    return boost::outcome_v2::success();
+}
+
+void gateway_node::add_seeds(std::vector<endpoint_text> seeds)
+{
+    boost::asio::post(duty_.context(),
+                      [this, seeds = std::move(seeds)]
+                      {
+                          for (auto const& seed : seeds)
+                              link_to(seed);
+                      });
+}
+
+void gateway_node::link_to(endpoint_text const& control)
+{
+    if (links_.contains(control) || links_.size() >= max_controls)
+        return;
+    auto link = std::make_unique<frame_client>(duty_, *this, fleet_identity(settings_.name.value()),
+                                               control);
+    link->start();
+    links_[control] = std::move(link);
+}
+
+void gateway_node::tick(instant now)
+{
+    if (now < next_report_)
+        return;
+    report_to_all();
+}
+
+void gateway_node::report_to_all()
+{
+    next_report_ = instant::clock::now() + report_interval;
+    for (auto& [endpoint, link] : links_)
+        report_to(*link);
+}
+
+void gateway_node::report_to(frame_client& link)
+{
+    entry_report out;
+    out.host = settings_.name;
+    out.caller_endpoint = settings_.caller_listen;
+    out.region = settings_.region;
+    out.domain = settings_.domain;
+    out.ready = is_ready();
+    out.view_index = view_index_;
+    link.send(frame_type::entry_report, encode(out));
+}
+
+void gateway_node::on_open(frame_session_ptr const& session)
+{
+    sessions_[session.get()] = instant::clock::now();
+    log_change(log_level::info, "control_connected",
+               "peer=" + session->peer() + " sessions=" + std::to_string(sessions_.size()));
+    for (auto& [endpoint, link] : links_)
+        if (link->owns(*session))
+            report_to(*link);
+}
+
+void gateway_node::on_close(frame_session_ptr const& session)
+{
+    sessions_.erase(session.get());
+    log_change(log_level::warning, "control_lost",
+               "peer=" + session->peer() + " sessions=" + std::to_string(sessions_.size()) +
+                   " view=" + std::to_string(view_index_));
+}
+
+void gateway_node::on_frame(frame_session_ptr const& session, frame&& item)
+{
+    if (item.type == frame_type::fleet_changes)
+        if (auto message = decode<fleet_changes>(item.payload, session->peer()))
+            return on_changes(std::move(message).value(), session->peer());
+    if (item.type == frame_type::greeting)
+        return;
+    ++counters_.bad_frames;
+    log_change(log_level::warning, "bad_frame", "peer=" + session->peer());
+    session->close();
+}
+
+void gateway_node::on_changes(fleet_changes changes, std::string const& peer)
+{
+    // A push that was held up on its way must not take the view back.
+    if (changes.to < view_index_ || changes.from > view_index_)
+        return;
+    bool const was_ready = is_ready();
+    bool const newer = changes.to > view_index_;
+    board_.apply(changes, instant::clock::now());
+    adopt_controls(changes.controls);
+    if (changes.config)
+        adopt_config(std::move(*changes.config));
+    view_index_ = changes.to;
+    for (auto const& [service, allowance] : allowances_)
+        allowance_of(service);
+    if (newer)
+        log_change(log_level::info, "view",
+                   "index=" + std::to_string(view_index_) + " from=" + peer + " version=" +
+                       (table_ ? std::to_string(table_->config().version.value()) : "none") +
+                       " upstreams=" + std::to_string(board_.upstreams()) +
+                       " entries=" + std::to_string(board_.entry_hosts()) +
+                       " evacuated=" + std::to_string(changes.evacuated.size()));
+    if (newer || was_ready != is_ready())
+        report_to_all();
+}
+
+void gateway_node::adopt_config(routing_config config)
+{
+    if (table_ && config.version <= table_->config().version)
+        return;
+    http_server_limits limits;
+    limits.max_header_bytes = config.limits.max_header_bytes;
+    limits.max_body_bytes = config.limits.max_body_bytes;
+    limits.max_connections = settings_.max_connections;
+    // Callers may reuse a connection until shortly before the limit that they know, which may be
+    // that of a newer configuration.
+    limits.idle_timeout = milliseconds(config.limits.idle_timeout_ms) * 3 / 2;
+    callers_->set_limits(limits);
+    board_.configure(config);
+    table_ = std::make_shared<route_table>(std::move(config));
+}
+
+void gateway_node::adopt_controls(std::vector<endpoint_text> const& controls)
+{
+    if (controls.empty())
+        return;
+    for (auto const& control : controls)
+        link_to(control);
+    std::erase_if(links_,
+                  [&](auto& item)
+                  {
+                      bool const listed =
+                          std::find(controls.begin(), controls.end(), item.first) != controls.end();
+                      bool const seed = std::find(settings_.seeds.begin(), settings_.seeds.end(),
+                                                  item.first) != settings_.seeds.end();
+                      if (listed || seed)
+                          return false;
+                      item.second->stop();
+                      return true;
+                  });
+}
+
+retry_allowance& gateway_node::allowance_of(service_name const& service)
+{
+    retry_allowance& allowance = allowances_[service];
+    double const hosts = std::max<double>(1, static_cast<double>(board_.entry_hosts()));
+    allowance.set(settings_.retry_ratio * budget_part,
+                  std::max(1.0, settings_.retry_extra * budget_part / hosts));
+    return allowance;
+}
+
+void gateway_node::leave(instant until)
+{
+    std::promise<void> told;
+    boost::asio::post(duty_.context(),
+                      [&]
+                      {
+                          leaving_ = true;
+                          refuse_from_ = instant::clock::now() + serve_after_notice;
+                          callers_->drain();
+                          report_to_all();
+                          told.set_value();
+                      });
+    told.get_future().wait();
+    log_change(log_level::info, "entry_leaving", "in_flight=" + std::to_string(in_flight_));
+    instant const refuse_from = instant::clock::now() + serve_after_notice;
+    bool idle = false;
+    while (!idle && instant::clock::now() < until)
+    {
+        std::this_thread::sleep_for(milliseconds(100));
+        std::promise<bool> done;
+        boost::asio::post(
+            duty_.context(),
+            [&] { done.set_value(in_flight_ == 0 && instant::clock::now() > refuse_from); });
+        idle = done.get_future().get();
+    }
+    callers_->close();
+    log_change(log_level::info, "entry_left", std::string("idle=") + (idle ? "1" : "0"));
+}
+
+void gateway_node::stop()
+{
+    duty_.stop();
+}
+
+std::string gateway_node::metrics() const
+{
+    std::string out;
+    auto const line = [&out](std::string const& name, std::uint64_t value)
+    { out += "guavashed_entry_" + name + " " + std::to_string(value) + "\n"; };
+    line("requests_total", counters_.requests);
+    line("relayed_total", counters_.relayed);
+    line("refused_total", counters_.refused);
+    line("failed_total", counters_.failed);
+    line("timed_out_total", counters_.timed_out);
+    line("abandoned_total", counters_.abandoned);
+    line("attempts_total", counters_.attempts);
+    line("second_attempts_total", counters_.second_attempts);
+    line("connections_opened_total", client_.connections_opened());
+    line("bad_frames_total", counters_.bad_frames);
+    line("in_flight", in_flight_);
+    line("control_sessions", sessions_.size());
+    line("view_index", view_index_);
+    line("config_version", table_ ? table_->config().version.value() : 0);
+    std::uint64_t below = 0;
+    for (std::size_t at = 0; at < bucket_ms.size(); ++at)
+    {
+        below += latencies_[at];
+        line("latency_ms_bucket{le=\"" + std::to_string(bucket_ms[at]) + "\"}", below);
+    }
+    line("latency_ms_bucket{le=\"+Inf\"}", below + latencies_.back());
+    line("latency_ms_count", below + latencies_.back());
+    line("latency_ms_sum", static_cast<std::uint64_t>(latency_sum_ms_));
+    return out;
+}
+
+} // namespace guavashed
--- /dev/null
+++ b/src/fleet/gateway_node.hpp
@@ -0,0 +1,152 @@
+/// \file
+/// Defines gateway_node, an entry host: it takes callers' requests and sends them to upstreams.
+#pragma once
+
+#include "fleet/call_protocol.hpp"
+#include "fleet/view_messages.hpp"
+#include "frame_link.hpp"
+#include "http_client.hpp"
+#include "http_server.hpp"
+#include "routing/attempt_policy.hpp"
+#include "routing/retry_allowance.hpp"
+#include "routing/route_table.hpp"
+#include "routing/upstream_board.hpp"
+#include "ticker.hpp"
+
+#include <array>
+#include <map>
+#include <memory>
+#include <set>
+
+namespace guavashed
+{
+
+struct gateway_settings
+{
+    host_name name;
+    endpoint_text caller_listen;
+    /// Readiness and metrics.
+    endpoint_text readiness_listen;
+    region_name region;
+    failure_domain_name domain;
+    std::map<failure_domain_name, region_name> regions;
+    /// Peer endpoints of some control hosts.
+    std::vector<endpoint_text> seeds;
+    /// The fleet's budget for second tries: a part of first tries, and so many more.
+    double retry_ratio = 0.2;
+    double retry_extra = 0;
+    /// Connections and buffers are bounded by it.
+    std::size_t max_connections = 2048;
+};
+
+struct gateway_counters
+{
+    std::uint64_t requests = 0;
+    std::uint64_t relayed = 0;
+    std::uint64_t refused = 0;
+    std::uint64_t failed = 0;
+    std::uint64_t timed_out = 0;
+    std::uint64_t abandoned = 0;
+    std::uint64_t attempts = 0;
+    std::uint64_t second_attempts = 0;
+    std::uint64_t bad_frames = 0;
+};
+
+/// Runs on its own duty. Thread safety: construct, `start`, `leave` and `stop` from the main
+/// thread; all else on the duty.
+class gateway_node : public http_handler, public frame_handler
+{
+public:
+    /// Precondition: `protocol` outlives this.
+    gateway_node(gateway_settings settings, call_protocol const& protocol);
+    ~gateway_node() override;
+
+    result<void> start();
+    /// Serves what is under way and what still comes, then stops; returns by `until`.
+    void leave(instant until);
+    void stop();
+    /// Endpoints of control hosts that the settings name now. Thread safe.
+    void add_seeds(std::vector<endpoint_text> seeds);
+
+    void on_request(http_request request, std::shared_ptr<http_exchange> exchange) override;
+    void on_open(frame_session_ptr const& session) override;
+    void on_frame(frame_session_ptr const& session, frame&& item) override;
+    void on_close(frame_session_ptr const& session) override;
+
+private:
+    /// One caller's request, from its arrival to its answer.
+    struct call
+    {
+        http_request request;
+        std::shared_ptr<http_exchange> exchange;
+        call_facts facts;
+        /// Keeps the route alive while a newer configuration comes into force.
+        std::shared_ptr<route_table> table;
+        route_config const* route = nullptr;
+        service_name service;
+        instant arrived;
+        instant deadline;
+        std::set<upstream_name> tried;
+        std::uint32_t attempts = 0;
+        std::uint32_t unreachable = 0;
+        bool may_have_run = false;
+        pick chosen;
+        instant sent_at;
+        http_call_id running = 0;
+        bool finished = false;
+    };
+    using call_ptr = std::shared_ptr<call>;
+    class readiness;
+
+    void tick(instant now);
+    void link_to(endpoint_text const& control);
+    void report_to(frame_client& link);
+    void report_to_all();
+    void on_changes(fleet_changes changes, std::string const& peer);
+    void adopt_config(routing_config config);
+    void adopt_controls(std::vector<endpoint_text> const& controls);
+    bool is_ready() const { return table_ != nullptr && !leaving_; }
+
+    void route_call(call_ptr const& item);
+    void attempt(call_ptr const& item);
+    void on_attempt_end(call_ptr const& item, http_outcome&& outcome);
+    attempt_end describe(http_outcome const& outcome, answer_facts const& facts,
+                         bool timed_out) const;
+    void report_attempt(call_ptr const& item, http_outcome const& outcome, attempt_end const& end,
+                        answer_facts const& facts, attempt_verdict verdict, instant now);
+    bool may_try_again(call const& item, attempt_verdict verdict, bool unsent, instant now);
+    void on_abandoned(call_ptr const& item);
+    void give_up(call_ptr const& item, attempt_verdict verdict, bool timed_out,
+                 std::string const& reason);
+    void answer(call_ptr const& item, http_response response, char const* outcome,
+                std::string const& reason);
+    void refuse(call_ptr const& item, std::string const& reason, std::uint32_t retry_after_ms);
+    retry_allowance& allowance_of(service_name const& service);
+    std::string metrics() const;
+
+    gateway_settings settings_;
+    call_protocol const& protocol_;
+    duty duty_;
+    ticker ticker_;
+    http_client client_;
+    std::unique_ptr<http_server> callers_;
+    std::unique_ptr<readiness> readiness_;
+    std::map<endpoint_text, std::unique_ptr<frame_client>> links_;
+    std::map<frame_session*, instant> sessions_;
+    upstream_board board_;
+    std::shared_ptr<route_table> table_;
+    std::uint64_t view_index_ = 0;
+    std::map<service_name, retry_allowance> allowances_;
+    std::uint64_t in_flight_ = 0;
+    bool leaving_ = false;
+    instant refuse_from_ = instant::max();
+    instant next_report_;
+    /// Upper bounds in ms of the histogram of answers' latencies.
+    static constexpr std::array<std::uint32_t, 10> bucket_ms{5,   10,  25,   50,   100,
+                                                             250, 500, 1000, 2500, 5000};
+    std::array<std::uint64_t, bucket_ms.size() + 1> latencies_{};
+    double latency_sum_ms_ = 0;
+    gateway_counters counters_;
+};
+
+} // namespace guavashed
--- /dev/null
+++ b/src/fleet/registry_group.cpp
@@ -0,0 +1,117 @@
+// How control hosts find each other, found the group, and take in new hosts and disks.
+#include "codec.hpp"
+#include "fleet/registry_node.hpp"
+#include "log.hpp"
+
+#include <algorithm>
+
+namespace guavashed
+{
+namespace
+{
+
+constexpr milliseconds greeting_interval{300};
+/// Control hosts that start with the seeds get this long to appear before the group is founded.
+constexpr milliseconds founding_wait{600};
+constexpr std::size_t max_founders = 5;
+constexpr milliseconds present_for{1500};
+
+} // namespace
+
+void registry_node::greet(instant now)
+{
+    next_greeting_ = now + greeting_interval;
+    control_greeting out;
+    out.host = self_;
+    out.disk = disk_;
+    out.blank = raft_->last_index().value() == 0;
+    out.founding = founding_;
+    out.leaving = leaving_;
+    for (auto const& [host, control] : known_)
+        if (control.heard + present_for > now)
+            out.known.push_back(host);
+    std::string const bytes = encode(out);
+    for (auto& [host, link] : links_)
+        link->send(frame_type::greeting, bytes);
+    found_when_possible();
+}
+
+void registry_node::on_greeting(control_greeting message)
+{
+    if (message.host == self_)
+        return;
+    link_to(message.host);
+    for (auto const& host : message.known)
+        link_to(host);
+    if (raft_->last_index().value() == 0 && !message.founding.empty())
+        found(message.founding);
+    host_name const host = message.host;
+    known_[host] = {std::move(message), instant::clock::now()};
+}
+
+void registry_node::found(std::string const& snapshot)
+{
+    auto decoded = decode<raft_snapshot>(snapshot, "greeting");
+    if (!decoded)
+        return log_change(log_level::warning, "founding_unreadable", to_string(decoded.error()));
+    raft_member const* self = decoded.value().membership.find(self_);
+    if (self == nullptr || self->disk != disk_)
+        return;
+    founding_ = snapshot;
+    log_change(log_level::info, "group_founded",
+               "members=" + std::to_string(decoded.value().membership.members.size()));
+    raft_->found(std::move(decoded).value());
+    drive_raft(instant::clock::now());
+}
+
+void registry_node::found_when_possible()
+{
+    if (!settings_.founding || raft_->last_index().value() != 0)
+        return;
+    instant const now = instant::clock::now();
+    for (auto const& seed : settings_.seeds)
+    {
+        host_name const host(seed.value());
+        if (host == self_)
+            continue;
+        auto const known = known_.find(host);
+        // The first of the seeds founds; a group that exists already tells by a host with a log.
+        if (host < self_ || known == known_.end() || !known->second.said.blank)
+            return;
+    }
+    bool const is_seed =
+        std::any_of(settings_.seeds.begin(), settings_.seeds.end(),
+                    [this](endpoint_text const& seed) { return seed.value() == self_.value(); });
+    if (!is_seed)
+        return;
+    if (founding_since_ == instant())
+        founding_since_ = now;
+    if (now < founding_since_ + founding_wait && known_.size() + 1 < max_founders)
+        return;
+    raft_snapshot snapshot;
+    snapshot.index = log_index(1);
+    snapshot.term = log_term(1);
+    snapshot.membership.members.push_back({self_, disk_, true});
+    for (auto const& [host, control] : known_)
+        if (control.said.blank && snapshot.membership.members.size() < max_founders)
+            snapshot.membership.members.push_back({host, control.said.disk, true});
+    snapshot.state = register_.save();
+    found(encode(snapshot));
+}
+
+void registry_node::mend_group(instant now)
+{
+    if (!raft_->membership_settled())
+        return;
+    std::erase_if(known_, [&](auto const& item)
+                  { return item.second.heard + std::chrono::minutes(1) < now; });
+    auto step = mender_.next_step(*raft_, known_, now);
+    if (!step)
+        return;
+    auto const proposed = raft_->propose_membership(std::move(step->next));
+    log_change(log_level::info, "membership_step",
+               "host=" + step->host.value() + " reason=\"" + step->reason +
+                   "\" outcome=" + (proposed ? "proposed" : to_string(proposed.error())));
+}
+
+} // namespace guavashed
--- /dev/null
+++ b/src/fleet/registry_node.cpp
@@ -0,0 +1,367 @@
+#include "fleet/registry_node.hpp"
+
+#include "codec.hpp"
+#include "fleet/registry_port.hpp"
+#include "invariant.hpp"
+#include "log.hpp"
+
+#include <algorithm>
+#include <future>
+
+namespace guavashed
+{
+namespace
+{
+
+/// Finer than the shortest deadline that a control host keeps, its heartbeat to the group.
+constexpr milliseconds tick_interval{20};
+/// Round trips between regions take up to a tenth of a second.
+constexpr milliseconds group_heartbeat{100};
+constexpr milliseconds group_election{600};
+constexpr milliseconds watch_interval{200};
+constexpr std::uint64_t entries_between_snapshots = 500;
+
+} // namespace
+
+registry_node::registry_node(registry_settings settings, registry_protocol const& protocol,
+                             std::function<void()> on_failure)
+    : settings_(std::move(settings)), protocol_(protocol), on_failure_(std::move(on_failure)),
+      self_(settings_.peer_listen.value()), duty_("control"),
+      ticker_(duty_, tick_interval, [this](instant now) { tick(now); })
+{
+}
+
+registry_node::~registry_node()
+{
+    stop();
+}
+
+result<void> registry_node::start()
+{
+    BOOST_OUTCOME_TRY(auto opened, raft_store::open(settings_.data_folder));
+    if (opened.torn_bytes > 0)
+        log_change(log_level::warning, "torn_tail_cut",
+                   "bytes=" + std::to_string(opened.torn_bytes));
+    disk_ = opened.disk;
+    raft_snapshot const& snapshot = opened.restored.snapshot;
+    BOOST_OUTCOME_TRY(register_.load(snapshot.state));
+    applied_ = snapshot.index;
+    applied_term_ = snapshot.term;
+    applied_membership_ = snapshot.membership;
+    compacted_ = applied_;
+    if (snapshot.index == log_index(1))
+        founding_ = encode(snapshot);
+
+    storage_ = std::make_unique<storage_duty>(duty_, std::move(opened.store), record_file(), "",
+                                              [this](storage_done&& done)
+                                              { on_storage(std::move(done)); });
+    raft_settings rules;
+    rules.self = self_;
+    rules.disk = disk_;
+    rules.heartbeat = group_heartbeat;
+    rules.election = group_election;
+    rules.seed = disk_.value();
+    raft_ = std::make_unique<raft>(rules, std::move(opened.restored), instant::clock::now());
+
+    port_ = std::make_unique<port>(duty_, [this](http_request&& request, auto exchange)
+                                   { on_http(std::move(request), std::move(exchange)); });
+    server_ = std::make_unique<frame_server>(duty_, *this, fleet_identity(self_.value()));
+    BOOST_OUTCOME_TRY(server_->listen(settings_.peer_listen));
+    BOOST_OUTCOME_TRY(port_->listen(settings_.operator_listen));
+    if (!settings_.resolve_listen.value().empty() &&
+        settings_.resolve_listen != settings_.operator_listen)
+    {
+        BOOST_OUTCOME_TRY(port_->listen(settings_.resolve_listen));
+    }
+    if (!settings_.metrics_listen.value().empty())
+    {
+        BOOST_OUTCOME_TRY(port_->listen(settings_.metrics_listen));
+    }
+    boost::asio::post(duty_.context(),
+                      [this]
+                      {
+                          for (auto const& seed : settings_.seeds)
+                              link_to(host_name(seed.value()));
+                          for (auto const& member : raft_->membership().members)
+                              link_to(member.host);
+                          ticker_.start();
+                      });
+    log_change(log_level::info, "control_started",
+               std::string("disk=") + (opened.fresh ? "fresh" : "known") +
+                   " applied=" + std::to_string(applied_.value()) +
+                   " version=" + std::to_string(register_.version().value()) +
+                   " members=" + std::to_string(applied_membership_.members.size()));
+    return boost::outcome_v2::success();
+}
+
+void registry_node::add_seeds(std::vector<endpoint_text> seeds)
+{
+    boost::asio::post(duty_.context(),
+                      [this, seeds = std::move(seeds)]
+                      {
+                          for (auto const& seed : seeds)
+                              link_to(host_name(seed.value()));
+                      });
+}
+
+void registry_node::link_to(host_name const& host)
+{
+    if (host == self_ || links_.contains(host))
+        return;
+    auto link = std::make_unique<frame_client>(duty_, *this, fleet_identity(self_.value()),
+                                               endpoint_text(host.value()));
+    link->start();
+    links_[host] = std::move(link);
+}
+
+void registry_node::tick(instant now)
+{
+    raft_->tick(now);
+    drive_raft(now);
+    if (now >= next_greeting_)
+        greet(now);
+    if (now >= next_flush_)
+        flush_heard();
+    if (now >= next_watch_)
+    {
+        next_watch_ = now + watch_interval;
+        if (raft_->lease_holds(now) && raft_->caught_up())
+        {
+            mend_group(now);
+            watch_upstreams(now);
+            drive_raft(now);
+        }
+        compact_when_due();
+    }
+    expire_pending(now);
+    push_changes(now);
+}
+
+void registry_node::note_leader(instant now)
+{
+    if (raft_->role() == last_role_ && raft_->leader() == last_leader_)
+        return;
+    bool const changed = raft_->leader() != last_leader_;
+    last_role_ = raft_->role();
+    last_leader_ = raft_->leader();
+    if (last_leader_ == host_name())
+        return log_change(log_level::warning, "leader_lost",
+                          "term=" + std::to_string(raft_->term().value()));
+    if (!changed)
+        return;
+    ++counters_.leaders_seen;
+    log_change(log_level::info, "leader",
+               "leader=" + last_leader_.value() + " term=" + std::to_string(raft_->term().value()) +
+                   " role=" + to_string(last_role_));
+    // What the last leader had heard of upstreams is not known here.
+    for (auto const& [id, held] : register_.upstreams())
+        heard_[id] = now;
+    for (auto const& [number, order] : pending_)
+        send_proposal(order.command);
+}
+
+void registry_node::drive_raft(instant now)
+{
+    note_leader(now);
+    while (!in_storage_ && !compacting_ && !storage_failed_)
+    {
+        raft_batch batch = raft_->take_batch();
+        if (batch.empty())
+            return;
+        if (!batch.needs_sync())
+        {
+            release(std::move(batch));
+            continue;
+        }
+        in_storage_ = batch;
+        bool const queued = storage_->submit(persist_log{std::move(batch)});
+        GUAVASHED_INVARIANT(queued) << "the storage ring is full with one job in flight";
+    }
+}
+
+void registry_node::on_storage(storage_done&& done)
+{
+    if (done.failure)
+    {
+        storage_failed_ = true;
+        log_change(log_level::error, "storage_failed", to_string(*done.failure));
+        return on_failure_();
+    }
+    if (std::holds_alternative<compact_log>(done.job))
+        compacting_ = false;
+    else
+    {
+        raft_batch batch = std::move(*in_storage_);
+        in_storage_.reset();
+        release(std::move(batch));
+    }
+    drive_raft(instant::clock::now());
+}
+
+void registry_node::release(raft_batch batch)
+{
+    raft_->on_persisted(instant::clock::now());
+    if (batch.install)
+    {
+        auto const loaded = register_.load(batch.install->state);
+        GUAVASHED_INVARIANT(loaded.has_value()) << to_string(loaded.error());
+        applied_ = batch.install->index;
+        applied_term_ = batch.install->term;
+        applied_membership_ = batch.install->membership;
+        compacted_ = applied_;
+        log_change(log_level::info, "snapshot_installed",
+                   "index=" + std::to_string(applied_.value()) +
+                       " version=" + std::to_string(register_.version().value()));
+    }
+    for (auto const& message : batch.messages)
+        send_raft(message);
+    for (auto const& entry : batch.committed)
+        apply(entry);
+    if (!batch.committed.empty() || batch.install)
+        push_changes(instant::clock::now());
+}
+
+void registry_node::apply(raft_entry const& entry)
+{
+    GUAVASHED_INVARIANT(entry.index.value() == applied_.value() + 1)
+        << "entry " << entry.index << " would be applied after " << applied_;
+    applied_ = entry.index;
+    applied_term_ = entry.term;
+    if (entry.kind == entry_kind::membership)
+    {
+        auto decoded = decode<raft_membership>(entry.payload, "log");
+        GUAVASHED_INVARIANT(decoded.has_value()) << to_string(decoded.error());
+        applied_membership_ = std::move(decoded).value();
+        for (auto const& member : applied_membership_.members)
+            link_to(member.host);
+        return;
+    }
+    if (entry.kind != entry_kind::command)
+        return;
+    auto const command = decode<register_command>(entry.payload, "log");
+    GUAVASHED_INVARIANT(command.has_value()) << to_string(command.error());
+    instant const now = instant::clock::now();
+    config_version const before = register_.version();
+    log_index const changed_before = register_.changed();
+    register_outcome const outcome = register_.apply(entry.index, command.value(), now);
+    GUAVASHED_INVARIANT(register_.version() >= before)
+        << "version went from " << before << " to " << register_.version();
+    if (register_.changed() != changed_before)
+        last_change_ = now;
+    settle(command.value(), outcome);
+}
+
+void registry_node::compact_when_due()
+{
+    if (in_storage_ || compacting_ || storage_failed_ ||
+        applied_.value() < compacted_.value() + entries_between_snapshots)
+        return;
+    raft_snapshot snapshot{applied_, applied_term_, applied_membership_, register_.save()};
+    compact_log job{snapshot, raft_->persisted_after(applied_)};
+    compacting_ = storage_->submit(std::move(job));
+    if (!compacting_)
+        return;
+    raft_->on_snapshot(std::move(snapshot));
+    compacted_ = applied_;
+}
+
+void registry_node::send_raft(raft_message const& message)
+{
+    auto const link = links_.find(message.to);
+    if (link == links_.end())
+        return link_to(message.to);
+    link->second->send(frame_type::raft, encode(message));
+}
+
+void registry_node::on_open(frame_session_ptr const& session)
+{
+    log_change(log_level::info, "session_opened", "peer=" + session->peer());
+    for (auto const& [host, link] : links_)
+        if (link->owns(*session))
+            next_greeting_ = instant();
+}
+
+void registry_node::on_close(frame_session_ptr const& session)
+{
+    log_change(log_level::warning, "session_lost", "peer=" + session->peer());
+    if (entries_.erase(session.get()) > 0)
+        ++entries_epoch_;
+}
+
+void registry_node::on_frame(frame_session_ptr const& session, frame&& item)
+{
+    instant const now = instant::clock::now();
+    switch (item.type)
+    {
+    case frame_type::raft:
+        if (auto message = decode<raft_message>(item.payload, session->peer()))
+        {
+            raft_->step(now, message.value());
+            return drive_raft(now);
+        }
+        break;
+    case frame_type::greeting:
+        if (auto message = decode<control_greeting>(item.payload, session->peer()))
+            return on_greeting(std::move(message).value());
+        break;
+    case frame_type::proposal:
+        if (raft_->propose(std::move(item.payload)))
+            drive_raft(now);
+        return;
+    case frame_type::config_read:
+        if (auto message = decode<config_read>(item.payload, session->peer()))
+            return on_config_read(session, std::move(message).value());
+        break;
+    case frame_type::upstreams_heard:
+        if (auto message = decode<upstreams_heard>(item.payload, session->peer()))
+        {
+            for (auto const& id : message.value().ids)
+                heard_[id] = now;
+            return;
+        }
+        break;
+    case frame_type::entry_report:
+        if (auto message = decode<entry_report>(item.payload, session->peer()))
+            return on_entry_report(session, std::move(message).value());
+        break;
+    default:
+        break;
+    }
+    ++counters_.bad_frames;
+    log_change(log_level::warning, "bad_frame", "peer=" + session->peer());
+    session->close();
+}
+
+void registry_node::leave(instant until)
+{
+    bool done = false;
+    while (!done && instant::clock::now() < until)
+    {
+        std::promise<bool> led;
+        boost::asio::post(duty_.context(),
+                          [&]
+                          {
+                              instant const now = instant::clock::now();
+                              leaving_ = true;
+                              greet(now);
+                              bool const leads = raft_->is_leader();
+                              if (leads)
+                                  raft_->hand_over(now);
+                              drive_raft(now);
+                              led.set_value(leads || !pending_.empty());
+                          });
+        done = !led.get_future().get();
+        if (!done)
+            std::this_thread::sleep_for(milliseconds(100));
+    }
+    log_change(log_level::info, "control_left", std::string("handed_over=") + (done ? "1" : "0"));
+}
+
+void registry_node::stop()
+{
+    duty_.stop();
+    if (storage_)
+        storage_->stop();
+}
+
+} // namespace guavashed
--- /dev/null
+++ b/src/fleet/registry_node.hpp
@@ -0,0 +1,187 @@
+/// \file
+/// Defines registry_node, a control host: one replica of the fleet register, and its ports.
+#pragma once
+
+#include "fleet/fleet_register.hpp"
+#include "fleet/group_mender.hpp"
+#include "fleet/registry_protocol.hpp"
+#include "fleet/view_messages.hpp"
+#include "frame_link.hpp"
+#include "http_server.hpp"
+#include "storage_duty.hpp"
+#include "ticker.hpp"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+
+namespace guavashed
+{
+
+struct registry_settings
+{
+    /// Its name in the group is its peer endpoint, so that the log itself tells where members are.
+    endpoint_text peer_listen;
+    endpoint_text operator_listen;
+    endpoint_text resolve_listen;
+    /// Where metrics are served; not at all when empty.
+    endpoint_text metrics_listen;
+    std::string data_folder;
+    /// Peer endpoints of some control hosts.
+    std::vector<endpoint_text> seeds;
+    /// The system starts for the first time: an empty disk may found the group.
+    bool founding = false;
+    /// How often upstreams announce themselves.
+    milliseconds announce_interval{1500};
+    /// How long callers may keep an answer to a look-up.
+    milliseconds resolve_keep{2000};
+    std::map<failure_domain_name, region_name> regions;
+};
+
+struct registry_counters
+{
+    std::uint64_t announcements = 0;
+    std::uint64_t orders = 0;
+    std::uint64_t refused = 0;
+    std::uint64_t unavailable = 0;
+    std::uint64_t lookups = 0;
+    std::uint64_t pushes = 0;
+    std::uint64_t pushed_bytes = 0;
+    std::uint64_t leaders_seen = 0;
+    std::uint64_t bad_frames = 0;
+};
+
+/// Runs on its own duty and a storage duty. Thread safety: construct, `start`, `leave` and `stop`
+/// from the main thread; all else on the duty.
+class registry_node : public frame_handler
+{
+public:
+    /// `on_failure` runs once when the disk fails: the process must end, since what it has not
+    /// synced it must never acknowledge. Precondition: `protocol` outlives this.
+    registry_node(registry_settings settings, registry_protocol const& protocol,
+                  std::function<void()> on_failure);
+    ~registry_node() override;
+
+    /// Opens the data folder and the ports.
+    result<void> start();
+    /// Hands leadership over before a planned stop; returns when it has, or by `until`.
+    void leave(instant until);
+    void stop();
+    /// Peer endpoints of control hosts that the settings name now. Thread safe.
+    void add_seeds(std::vector<endpoint_text> seeds);
+
+    void on_open(frame_session_ptr const& session) override;
+    void on_frame(frame_session_ptr const& session, frame&& item) override;
+    void on_close(frame_session_ptr const& session) override;
+
+private:
+    class port;
+
+    /// An order that waits for its command to be applied here.
+    struct pending_order
+    {
+        std::shared_ptr<http_exchange> exchange;
+        std::string command;
+        register_command_kind kind = register_command_kind::announce;
+        std::string subject;
+        instant until;
+    };
+    struct pending_read
+    {
+        std::shared_ptr<http_exchange> exchange;
+        instant until;
+    };
+    struct entry_session
+    {
+        frame_session_ptr session;
+        entry_report said;
+        instant heard;
+        std::uint64_t sent_to = 0;
+        std::uint64_t sent_entries = 0;
+        instant push_due;
+        instant resend;
+    };
+
+    void tick(instant now);
+    void drive_raft(instant now);
+    void note_leader(instant now);
+    void release(raft_batch batch);
+    void apply(raft_entry const& entry);
+    void compact_when_due();
+    void on_storage(storage_done&& done);
+    void send_raft(raft_message const& message);
+    void link_to(host_name const& host);
+
+    void greet(instant now);
+    void on_greeting(control_greeting message);
+    void found_when_possible();
+    void found(std::string const& snapshot);
+    void mend_group(instant now);
+
+    void on_http(http_request&& request, std::shared_ptr<http_exchange> exchange);
+    void on_announce(announce_order&& order, std::shared_ptr<http_exchange> exchange);
+    void on_configure(configure_order&& order, std::shared_ptr<http_exchange> exchange);
+    void on_read(std::shared_ptr<http_exchange> exchange);
+    void on_resolve(resolve_order const& order, http_exchange& exchange);
+    void submit(register_command command, std::string subject,
+                std::shared_ptr<http_exchange> exchange);
+    void propose(std::string const& command);
+    void send_proposal(std::string const& command);
+    bool in_contact(instant now) const;
+    void settle(register_command const& command, register_outcome outcome);
+    void expire_pending(instant now);
+    void on_config_read(frame_session_ptr const& session, config_read message);
+    bool may_answer_reads(instant now) const;
+    void watch_upstreams(instant now);
+    void flush_heard();
+    std::string metrics() const;
+
+    void on_entry_report(frame_session_ptr const& session, entry_report message);
+    void push_changes(instant now);
+    void push_to(instant now, entry_session& entry);
+    fleet_changes changes_since(std::uint64_t index, instant now) const;
+
+    registry_settings settings_;
+    registry_protocol const& protocol_;
+    std::function<void()> on_failure_;
+    host_name self_;
+    duty duty_;
+    ticker ticker_;
+    std::unique_ptr<port> port_;
+    std::unique_ptr<frame_server> server_;
+    std::unique_ptr<storage_duty> storage_;
+    std::unique_ptr<raft> raft_;
+    fleet_register register_;
+    group_mender mender_;
+    disk_id disk_;
+    std::string founding_;
+    std::map<host_name, std::unique_ptr<frame_client>> links_;
+    std::map<host_name, known_control> known_;
+    std::map<frame_session*, entry_session> entries_;
+    /// Rises when an entry host comes or goes.
+    std::uint64_t entries_epoch_ = 1;
+    std::map<std::uint64_t, pending_order> pending_;
+    std::map<std::uint64_t, pending_read> reads_;
+    std::map<upstream_name, instant> heard_;
+    std::vector<upstream_name> heard_since_flush_;
+    std::uint64_t last_ticket_ = 0;
+    std::optional<raft_batch> in_storage_;
+    bool compacting_ = false;
+    bool storage_failed_ = false;
+    bool leaving_ = false;
+    log_index applied_;
+    log_term applied_term_;
+    raft_membership applied_membership_;
+    log_index compacted_;
+    raft_role_state last_role_ = raft_role_state::follower;
+    host_name last_leader_;
+    instant last_change_;
+    instant next_greeting_;
+    instant next_flush_;
+    instant next_watch_;
+    instant founding_since_;
+    registry_counters counters_;
+};
+
+} // namespace guavashed
--- /dev/null
+++ b/src/fleet/registry_orders.cpp
@@ -0,0 +1,365 @@
+// What control hosts answer to upstreams, operators and look-ups.
+#include "codec.hpp"
+#include "fleet/registry_node.hpp"
+#include "log.hpp"
+#include "operator_port.hpp"
+
+#include <algorithm>
+
+namespace guavashed
+{
+namespace
+{
+
+/// Callers of this port wait for one second before they turn to another host.
+constexpr milliseconds answer_limit{900};
+constexpr milliseconds flush_interval{500};
+/// Covers a few lost heartbeats of the leader, on top of the lease that it passes on.
+constexpr milliseconds contact_slack{800};
+/// Missed announcements after which an upstream is taken for dead, and the slack for late ones.
+constexpr int missed_announcements = 4;
+constexpr milliseconds announcement_slack{2000};
+/// Entry hosts in an answer before those of other failure domains are added.
+constexpr std::size_t enough_entries = 2;
+constexpr std::size_t max_entries = 64;
+
+http_response acknowledged()
+{
+    return json_response(200, "{}");
+}
+
+http_response unavailable(std::string detail)
+{
+    return error_response(503, fail(error_code::unavailable, "order", "", std::move(detail)));
+}
+
+std::string text_of(register_outcome outcome)
+{
+    switch (outcome)
+    {
+    case register_outcome::accepted:
+        return "accepted";
+    case register_outcome::conflict:
+        return "conflict";
+    case register_outcome::stale_version:
+        return "stale_version";
+    }
+    return "unknown";
+}
+
+} // namespace
+
+void registry_node::on_http(http_request&& request, std::shared_ptr<http_exchange> exchange)
+{
+    auto order = protocol_.read(request);
+    if (!order)
+    {
+        ++counters_.refused;
+        unsigned const status = order.error().code == error_code::unknown_place ? 404 : 400;
+        log_change(log_level::warning, "order_refused",
+                   "target=" + request.target + " reason=\"" + to_string(order.error()) + "\"");
+        return exchange->respond(error_response(status, order.error()));
+    }
+    if (auto* announce = std::get_if<announce_order>(&order.value()))
+        return on_announce(std::move(*announce), std::move(exchange));
+    if (auto const* resolve = std::get_if<resolve_order>(&order.value()))
+        return on_resolve(*resolve, *exchange);
+    if (auto* configure = std::get_if<configure_order>(&order.value()))
+        return on_configure(std::move(*configure), std::move(exchange));
+    if (std::holds_alternative<read_config_order>(order.value()))
+        return on_read(std::move(exchange));
+    if (std::holds_alternative<metrics_order>(order.value()))
+        return exchange->respond({200, {{"Content-Type", "text/plain"}}, metrics()});
+    register_command command;
+    std::string subject;
+    if (auto const* leave = std::get_if<leave_order>(&order.value()))
+    {
+        command.kind = register_command_kind::leave;
+        command.upstream.id = leave->id;
+        subject = "upstream=" + leave->id.value();
+    }
+    else
+    {
+        auto const& evacuate = std::get<evacuate_order>(order.value());
+        command.kind =
+            evacuate.restore ? register_command_kind::restore : register_command_kind::evacuate;
+        command.domain = evacuate.domain;
+        subject = "domain=" + evacuate.domain.value();
+    }
+    ++counters_.orders;
+    submit(std::move(command), std::move(subject), std::move(exchange));
+}
+
+void registry_node::on_announce(announce_order&& order, std::shared_ptr<http_exchange> exchange)
+{
+    ++counters_.announcements;
+    instant const now = instant::clock::now();
+    if (!in_contact(now))
+    {
+        ++counters_.unavailable;
+        return exchange->respond(unavailable("this host is not in contact with a leader"));
+    }
+    heard_[order.row.id] = now;
+    heard_since_flush_.push_back(order.row.id);
+    if (register_.reflects(order.row, order.cold_left_ms, now))
+        return exchange->respond(acknowledged());
+    register_command command;
+    command.kind = register_command_kind::announce;
+    command.upstream = std::move(order.row);
+    command.sequence = order.sequence;
+    command.cold_left_ms = order.cold_left_ms;
+    std::string subject = "upstream=" + command.upstream.id.value() +
+                          " address=" + command.upstream.address.value() +
+                          " draining=" + (command.upstream.draining ? "1" : "0") +
+                          " cold_left_ms=" + std::to_string(command.cold_left_ms);
+    submit(std::move(command), std::move(subject), std::move(exchange));
+}
+
+void registry_node::on_configure(configure_order&& order, std::shared_ptr<http_exchange> exchange)
+{
+    ++counters_.orders;
+    if (register_.outcome_of(order.order_hash))
+        return exchange->respond(acknowledged());
+    std::string const subject = "base=" + std::to_string(order.base.value());
+    auto const refuse = [&](unsigned status, error const& reason)
+    {
+        ++counters_.refused;
+        log_change(log_level::warning, "configuration_refused",
+                   subject + " status=" + std::to_string(status) + " reason=\"" +
+                       to_string(reason) + "\"");
+        exchange->respond(error_response(status, reason));
+    };
+    // Versions only rise: a base behind the version applied here is behind the one in force too.
+    if (order.base < register_.version())
+        return refuse(
+            412, fail(error_code::conflict, "configure", "",
+                      "version " + std::to_string(register_.version().value()) + " is in force"));
+    if (order.is_patch && order.base > register_.version())
+        return exchange->respond(unavailable("this host has not applied the base version yet"));
+    auto decoded = order.is_patch ? protocol_.merge(register_.document(), order.document)
+                                  : protocol_.decode(order.document);
+    if (!decoded)
+        return refuse(400, decoded.error());
+    register_command command;
+    command.kind = register_command_kind::configure;
+    command.order_hash = order.order_hash;
+    command.base = order.base;
+    command.config = std::move(decoded.value().config);
+    command.document = std::move(decoded.value().document);
+    submit(std::move(command), subject, std::move(exchange));
+}
+
+void registry_node::submit(register_command command, std::string subject,
+                           std::shared_ptr<http_exchange> exchange)
+{
+    command.ticket = {self_, ++last_ticket_};
+    pending_order order;
+    order.exchange = std::move(exchange);
+    order.command = encode(command);
+    order.kind = command.kind;
+    order.subject = std::move(subject);
+    order.until = instant::clock::now() + answer_limit;
+    std::string const bytes = order.command;
+    pending_.emplace(last_ticket_, std::move(order));
+    propose(bytes);
+}
+
+void registry_node::propose(std::string const& command)
+{
+    send_proposal(command);
+    if (raft_->is_leader())
+        drive_raft(instant::clock::now());
+}
+
+void registry_node::send_proposal(std::string const& command)
+{
+    if (raft_->is_leader())
+    {
+        if (auto const proposed = raft_->propose(command); !proposed)
+            log_change(log_level::warning, "proposal_held", to_string(proposed.error()));
+        return;
+    }
+    auto const link = links_.find(raft_->leader());
+    if (link != links_.end())
+        link->second->send(frame_type::proposal, command);
+}
+
+bool registry_node::in_contact(instant now) const
+{
+    return raft_->is_leader() ? raft_->lease_holds(now)
+                              : now < raft_->fresh_until() + contact_slack;
+}
+
+void registry_node::settle(register_command const& command, register_outcome outcome)
+{
+    bool const own = command.ticket.origin == self_;
+    auto const waiting = own ? pending_.find(command.ticket.number) : pending_.end();
+    std::string const subject = waiting == pending_.end() ? "" : " " + waiting->second.subject;
+    log_change(log_level::info, "applied",
+               "index=" + std::to_string(applied_.value()) +
+                   " kind=" + std::to_string(static_cast<int>(command.kind)) +
+                   " origin=" + command.ticket.origin.value() + " outcome=" + text_of(outcome) +
+                   " version=" + std::to_string(register_.version().value()) + subject);
+    if (waiting == pending_.end())
+        return;
+    if (outcome == register_outcome::accepted)
+        waiting->second.exchange->respond(acknowledged());
+    else
+        waiting->second.exchange->respond(error_response(
+            412, fail(error_code::conflict, "configure", "",
+                      "version " + std::to_string(register_.version().value()) + " is in force")));
+    pending_.erase(waiting);
+}
+
+void registry_node::expire_pending(instant now)
+{
+    std::erase_if(pending_,
+                  [&](auto& item)
+                  {
+                      if (now < item.second.until)
+                          return false;
+                      ++counters_.unavailable;
+                      log_change(log_level::warning, "order_unanswered",
+                                 item.second.subject + " leader=" + raft_->leader().value());
+                      item.second.exchange->respond(
+                          unavailable("not known yet whether it was accepted; send it again"));
+                      return true;
+                  });
+    std::erase_if(reads_,
+                  [&](auto& item)
+                  {
+                      if (now < item.second.until)
+                          return false;
+                      ++counters_.unavailable;
+                      item.second.exchange->respond(unavailable("the leader does not answer"));
+                      return true;
+                  });
+}
+
+bool registry_node::may_answer_reads(instant now) const
+{
+    return raft_->lease_holds(now) && raft_->caught_up() && applied_ == raft_->commit_index() &&
+           !register_.document().empty();
+}
+
+void registry_node::on_read(std::shared_ptr<http_exchange> exchange)
+{
+    instant const now = instant::clock::now();
+    if (may_answer_reads(now))
+        return exchange->respond(json_response(200, register_.document()));
+    auto const link = links_.find(raft_->leader());
+    config_read request;
+    request.number = ++last_ticket_;
+    bool const passed =
+        link != links_.end() && link->second->send(frame_type::config_read, encode(request));
+    if (!passed)
+    {
+        ++counters_.unavailable;
+        return exchange->respond(unavailable("this host is not sure of the newest configuration"));
+    }
+    reads_[request.number] = {std::move(exchange), now + answer_limit};
+}
+
+void registry_node::on_config_read(frame_session_ptr const& session, config_read message)
+{
+    if (!message.answered)
+    {
+        if (!may_answer_reads(instant::clock::now()))
+            return;
+        message.answered = true;
+        message.document = register_.document();
+        session->send(frame_type::config_read, encode(message));
+        return;
+    }
+    auto const waiting = reads_.find(message.number);
+    if (waiting == reads_.end())
+        return;
+    waiting->second.exchange->respond(json_response(200, std::move(message.document)));
+    reads_.erase(waiting);
+}
+
+void registry_node::on_resolve(resolve_order const& order, http_exchange& exchange)
+{
+    ++counters_.lookups;
+    std::vector<endpoint_text> chosen;
+    auto const add = [&](auto const& accepts)
+    {
+        for (auto const& [session, entry] : entries_)
+            if (entry.said.ready && chosen.size() < max_entries && accepts(entry.said) &&
+                std::find(chosen.begin(), chosen.end(), entry.said.caller_endpoint) == chosen.end())
+                chosen.push_back(entry.said.caller_endpoint);
+    };
+    add([&](entry_report const& said) { return said.domain == order.domain; });
+    if (chosen.size() < enough_entries)
+        add([&](entry_report const& said) { return said.region == order.region; });
+    if (chosen.empty())
+        add([](entry_report const&) { return true; });
+    if (chosen.empty())
+    {
+        ++counters_.unavailable;
+        return exchange.respond(unavailable("no entry host is in session with this host"));
+    }
+    auto const keep = static_cast<std::uint32_t>(settings_.resolve_keep.count());
+    exchange.respond(protocol_.entries(chosen, keep));
+}
+
+void registry_node::watch_upstreams(instant now)
+{
+    auto const silent_after =
+        settings_.announce_interval * missed_announcements + announcement_slack;
+    for (auto const& [id, held] : register_.upstreams())
+    {
+        auto const [at, first] = heard_.try_emplace(id, now);
+        if (first || at->second + silent_after > now)
+            continue;
+        register_command command;
+        command.kind = register_command_kind::forget;
+        command.ticket = {self_, ++last_ticket_};
+        command.upstream = held.row;
+        log_change(log_level::warning, "upstream_silent", "upstream=" + id.value());
+        propose(encode(command));
+        at->second = now;
+        return;
+    }
+    std::erase_if(heard_,
+                  [&](auto const& item) {
+                      return !register_.upstreams().contains(item.first) &&
+                             item.second + silent_after < now;
+                  });
+}
+
+void registry_node::flush_heard()
+{
+    next_flush_ = instant::clock::now() + flush_interval;
+    if (raft_->is_leader() || heard_since_flush_.empty())
+        return heard_since_flush_.clear();
+    auto const link = links_.find(raft_->leader());
+    if (link != links_.end())
+        link->second->send(frame_type::upstreams_heard,
+                           encode(upstreams_heard{heard_since_flush_}));
+    heard_since_flush_.clear();
+}
+
+std::string registry_node::metrics() const
+{
+    std::string out;
+    auto const line = [&out](char const* name, std::uint64_t value)
+    { out += "guavashed_control_" + std::string(name) + " " + std::to_string(value) + "\n"; };
+    line("announcements_total", counters_.announcements);
+    line("orders_total", counters_.orders);
+    line("orders_refused_total", counters_.refused);
+    line("orders_unavailable_total", counters_.unavailable);
+    line("lookups_total", counters_.lookups);
+    line("view_pushes_total", counters_.pushes);
+    line("view_pushed_bytes_total", counters_.pushed_bytes);
+    line("leaders_seen_total", counters_.leaders_seen);
+    line("bad_frames_total", counters_.bad_frames);
+    line("leads", raft_->is_leader() ? 1 : 0);
+    line("applied_index", applied_.value());
+    line("config_version", register_.version().value());
+    line("upstreams", register_.upstreams().size());
+    line("entry_sessions", entries_.size());
+    return out;
+}
+
+} // namespace guavashed
--- /dev/null
+++ b/src/fleet/registry_port.hpp
@@ -0,0 +1,48 @@
+/// \file
+/// Defines registry_node::port, the HTTP ports of a control host on its own duty.
+#pragma once
+
+#include "fleet/registry_node.hpp"
+
+#include <functional>
+#include <memory>
+#include <vector>
+
+namespace guavashed
+{
+
+/// Thread safety: constructed and listened on before traffic; all else on the owner's duty.
+class registry_node::port : public http_handler
+{
+public:
+    using receiver = std::function<void(http_request&&, std::shared_ptr<http_exchange>)>;
+
+    port(duty& owner, receiver on_request) : owner_(owner), on_request_(std::move(on_request)) {}
+
+    result<void> listen(endpoint_text const& where)
+    {
+        servers_.push_back(std::make_unique<http_server>(owner_, *this, limits()));
+        return servers_.back()->listen(where);
+    }
+
+    void on_request(http_request request, std::shared_ptr<http_exchange> exchange) override
+    {
+        on_request_(std::move(request), std::move(exchange));
+    }
+
+private:
+    /// A configuration of thousands of routes takes a few megabytes.
+    static http_server_limits limits()
+    {
+        http_server_limits out;
+        out.max_body_bytes = 16 * 1024 * 1024;
+        out.max_connections = 2048;
+        return out;
+    }
+
+    duty& owner_;
+    receiver on_request_;
+    std::vector<std::unique_ptr<http_server>> servers_;
+};
+
+} // namespace guavashed
--- a/src/frame_link.cpp
+++ b/src/frame_link.cpp
@@ -27,8 +27,9 @@
 constexpr std::size_t max_hello_bytes = 1024;
 constexpr std::size_t max_queued_bytes = 32 * 1024 * 1024;
 constexpr std::chrono::seconds hello_limit{5};
-constexpr std::chrono::seconds ping_interval{2};
-constexpr std::chrono::seconds silence_limit{5};
+/// Three pings may be lost before a session of the fleet register is given up.
+constexpr std::chrono::milliseconds fleet_ping_interval{450};
+constexpr std::chrono::milliseconds fleet_silence_limit{1500};
 constexpr std::chrono::milliseconds connect_limit{1000};
 constexpr std::chrono::milliseconds first_backoff{50};
 constexpr std::chrono::milliseconds max_backoff{1000};
@@ -58,6 +59,15 @@
 
 } // namespace
 
+frame_identity fleet_identity(std::string name)
+{
+    frame_identity out;
+    out.name = std::move(name);
+    out.ping_interval = fleet_ping_interval;
+    out.silence_limit = fleet_silence_limit;
+    return out;
+}
+
 bool equal_in_constant_time(std::string_view left, std::string_view right)
 {
     if (left.size() != right.size())
@@ -201,7 +211,7 @@
         if (XXH3_64bits(payload_.data(), payload_.size()) != header_.checksum)
             return false;
         auto const type = static_cast<frame_type>(header_.type);
-        silent_at_ = instant::clock::now() + silence_limit;
+        silent_at_ = instant::clock::now() + identity_.silence_limit;
         if (open_ && type == frame_type::ping)
             return true;
         if (!open_)
@@ -212,7 +222,7 @@
 
     void schedule_ping()
     {
-        ping_timer_.expires_after(ping_interval);
+        ping_timer_.expires_after(identity_.ping_interval);
         ping_timer_.async_wait(
             [weak = weak_from_this()](boost::system::error_code code)
             {
@@ -237,7 +247,7 @@
         peer_ = payload_.substr(newline + 1);
         open_ = true;
         hello_timer_.cancel();
-        silent_at_ = instant::clock::now() + silence_limit;
+        silent_at_ = instant::clock::now() + identity_.silence_limit;
         schedule_ping();
         handler_.on_open(shared_from_this());
         return true;
--- a/src/frame_link.hpp
+++ b/src/frame_link.hpp
@@ -6,7 +6,9 @@
 #include "error.hpp"
 #include "ids.hpp"
 
+#include <chrono>
 #include <memory>
+#include <string>
 
 namespace guavashed
 {
@@ -29,7 +31,13 @@
     peer_presence = 13,
     loads = 14,
     /// Keeps an idle session known to be alive; never given to a handler.
-    ping = 15
+    ping = 15,
+    greeting = 16,
+    proposal = 17,
+    config_read = 18,
+    upstreams_heard = 19,
+    entry_report = 20,
+    fleet_changes = 21
 };
 
 struct frame
@@ -71,8 +79,14 @@
     std::string name;
     /// Shared by all processes of the system; sessions with another key are refused.
     std::string cluster_key;
+    std::chrono::milliseconds ping_interval{2000};
+    /// A session on which nothing has arrived for so long is closed.
+    std::chrono::milliseconds silence_limit{5000};
 };
 
+/// Identity for sessions of the fleet register, which must notice a lost peer within a drain.
+frame_identity fleet_identity(std::string name);
+
 /// Accepts sessions.
 class frame_server
 {
--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -2,6 +2,7 @@
 
 #include "endpoint.hpp"
 
+#include <algorithm>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <unordered_map>
@@ -16,9 +17,11 @@
 namespace
 {
 
-constexpr std::size_t max_response_bytes = 1024 * 1024;
+constexpr std::size_t max_response_bytes = 16 * 1024 * 1024;
 constexpr std::size_t max_idle_per_endpoint = 32;
 constexpr std::chrono::seconds max_idle_age{10};
+/// Part of an upstream's stated idle timeout for which a connection is reused.
+constexpr int idle_tenths = 7;
 
 struct connection
 {
@@ -27,10 +30,40 @@
     beast::tcp_stream stream;
     beast::flat_buffer buffer;
     instant idle_until;
+    instant idle_from;
+    /// Idle timeout that the upstream stated last.
+    milliseconds stated_idle = max_idle_age;
 };
 
 using connection_ptr = std::unique_ptr<connection>;
 
+/// Seconds that "Keep-Alive: timeout=N" states, 0 when it states none.
+int stated_timeout_s(std::string_view value)
+{
+    constexpr std::string_view key = "timeout=";
+    auto const at = value.find(key);
+    if (at == std::string_view::npos)
+        return 0;
+    int seconds = 0;
+    for (char const digit : value.substr(at + key.size()))
+    {
+        if (digit < '0' || digit > '9' || seconds > 3600)
+            break;
+        seconds = seconds * 10 + (digit - '0');
+    }
+    return seconds;
+}
+
+/// False when the other end has closed the connection, or sent bytes that no request asked for.
+bool is_quiet(tcp::socket& socket)
+{
+    beast::error_code code;
+    char byte = 0;
+    socket.non_blocking(true, code);
+    socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, code);
+    return code == asio::error::would_block;
+}
+
 http_response plain_response(http::response<http::string_body>&& message)
 {
     http_response out;
@@ -50,7 +83,7 @@
 
     class exchange;
 
-    connection_ptr take_idle(endpoint_text const& endpoint)
+    connection_ptr take_idle(endpoint_text const& endpoint, instant idle_since)
     {
         auto& idle = idle_[endpoint];
         instant const now = instant::clock::now();
@@ -58,7 +91,8 @@
         {
             connection_ptr candidate = std::move(idle.back());
             idle.pop_back();
-            if (candidate->idle_until > now)
+            if (candidate->idle_until > now && candidate->idle_from >= idle_since &&
+                is_quiet(candidate->stream.socket()))
                 return candidate;
         }
         return nullptr;
@@ -69,7 +103,8 @@
         auto& idle = idle_[endpoint];
         if (idle.size() >= max_idle_per_endpoint)
             return;
-        item->idle_until = instant::clock::now() + max_idle_age;
+        item->idle_from = instant::clock::now();
+        item->idle_until = item->idle_from + item->stated_idle * idle_tenths / 10;
         item->stream.expires_never();
         idle.push_back(std::move(item));
     }
@@ -94,7 +129,7 @@
     {
         build_message();
         if (!call_.fresh_connection)
-            connection_ = client_->take_idle(call_.endpoint);
+            connection_ = client_->take_idle(call_.endpoint, call_.idle_since);
         if (connection_)
             return write();
         connect();
@@ -112,9 +147,10 @@
         message_.method_string(call_.request.method);
         message_.target(call_.request.target);
         message_.version(11);
-        message_.set(http::field::host, call_.endpoint.value());
+        if (call_.request.field("Host").empty())
+            message_.set(http::field::host, call_.endpoint.value());
         for (auto const& field : call_.request.fields)
-            message_.set(field.name, field.value);
+            message_.insert(field.name, field.value);
         message_.body() = std::move(call_.request.body);
         message_.prepare_payload();
     }
@@ -126,14 +162,20 @@
             return finish_failed(send_stage::unsent, endpoint.error());
         connection_ = std::make_unique<connection>(client_->context_);
         ++client_->opened_;
-        connection_->stream.expires_at(call_.deadline);
+        instant const began = instant::clock::now();
+        connection_->stream.expires_at(timer_point(std::min(call_.connect_by, call_.deadline)));
         connection_->stream.async_connect(endpoint.value(),
-                                          [self = shared_from_this()](beast::error_code code)
-                                          { self->on_connect(code); });
+                                          [self = shared_from_this(), began](beast::error_code code)
+                                          {
+                                              self->connected_in_ = instant::clock::now() - began;
+                                              self->on_connect(code);
+                                          });
     }
 
     void on_connect(beast::error_code code)
     {
+        if (code)
+            connected_in_.reset();
         if (code)
             return finish_failed(send_stage::unsent, step_error("connect", code));
         beast::error_code ignored;
@@ -148,13 +190,12 @@
             return finish_failed(send_stage::unsent,
                                  fail(error_code::expired, "send", call_.endpoint.value(),
                                       "it is too late to send it"));
-        connection_->stream.expires_at(call_.deadline);
+        connection_->stream.expires_at(timer_point(call_.deadline));
         http::async_write(connection_->stream, message_,
                           [self = shared_from_this()](beast::error_code code, std::size_t)
                           {
-                              if (code)
-                                  return self->finish_failed(send_stage::sent,
-                                                             self->step_error("send", code));
+                              // An upstream may answer and close before it has read all.
+                              self->send_failed_ = code;
                               self->read();
                           });
     }
@@ -162,6 +203,7 @@
     void read()
     {
         parser_.body_limit(max_response_bytes);
+        parser_.skip(call_.request.method == "HEAD");
         http::async_read(connection_->stream, connection_->buffer, parser_,
                          [self = shared_from_this()](beast::error_code code, std::size_t)
                          { self->on_read(code); });
@@ -169,14 +211,19 @@
 
     void on_read(beast::error_code code)
     {
+        if (code && send_failed_)
+            return finish_failed(send_stage::sent, step_error("send", send_failed_));
         if (code)
             return finish_failed(send_stage::sent, step_error("read answer", code));
-        bool const reusable = parser_.get().keep_alive() && connection_->buffer.size() == 0;
+        bool const reusable =
+            parser_.get().keep_alive() && connection_->buffer.size() == 0 && !send_failed_;
+        if (int const seconds = stated_timeout_s(parser_.get()["Keep-Alive"]); seconds > 0)
+            connection_->stated_idle = std::chrono::seconds(seconds);
         http_outcome outcome;
         outcome.stage = send_stage::sent;
         outcome.response = plain_response(parser_.release());
         if (!call_.expected_id.empty() &&
-            outcome.response->field("X-Request-Id") != call_.expected_id)
+            outcome.response->field(call_.id_field) != call_.expected_id)
             return finish_failed(send_stage::sent,
                                  fail(error_code::invalid_request, "read answer",
                                       call_.endpoint.value(), "it belongs to another request"));
@@ -202,6 +249,7 @@
 
     void finish(http_outcome outcome)
     {
+        outcome.connected_in = connected_in_;
         connection_.reset();
         client_->running_.erase(id_);
         asio::post(client_->context_,
@@ -214,6 +262,8 @@
     http_call call_;
     done on_done_;
     connection_ptr connection_;
+    beast::error_code send_failed_;
+    std::optional<std::chrono::nanoseconds> connected_in_;
     http::request<http::string_body> message_;
     http::response_parser<http::string_body> parser_;
 };
--- a/src/http_client.hpp
+++ b/src/http_client.hpp
@@ -32,9 +32,14 @@
     instant send_by = instant::max();
     /// A kept-alive connection may be stale; work that must run at most once takes a fresh one.
     bool fresh_connection = false;
-    /// When set, an answer counts only if its X-Request-Id is this; any other answer is not ours,
-    /// and its connection is closed.
+    /// When set, an answer counts only if its field `id_field` is this; any other answer is not
+    /// ours, and its connection is closed.
     std::string expected_id;
+    std::string id_field = "X-Request-Id";
+    /// When a connection that is not established is given up; the call is then unsent.
+    instant connect_by = instant::max();
+    /// A kept connection that has been idle since before this is not used.
+    instant idle_since = instant::min();
 };
 
 struct http_outcome
@@ -43,6 +48,8 @@
     std::optional<http_response> response;
     send_stage stage = send_stage::unsent;
     error cause;
+    /// How long a new connection took; absent when a kept one was used.
+    std::optional<std::chrono::nanoseconds> connected_in;
 };
 
 using http_call_id = std::uint64_t;
--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -2,6 +2,7 @@
 
 #include "endpoint.hpp"
 
+#include <boost/asio/dispatch.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
@@ -17,7 +18,6 @@
 namespace
 {
 
-constexpr std::chrono::seconds idle_limit{60};
 constexpr std::chrono::milliseconds accept_retry{20};
 
 http_request plain_request(http::request<http::string_body>&& message)
@@ -49,6 +49,11 @@
         return boost::outcome_v2::success();
     }
 
+    void drain()
+    {
+        asio::post(owner_.context(), [self = shared_from_this()] { self->closing_ = true; });
+    }
+
     void close()
     {
         asio::post(owner_.context(),
@@ -93,7 +98,7 @@
         parser_.emplace();
         parser_->header_limit(static_cast<std::uint32_t>(server_->limits_.max_header_bytes));
         parser_->body_limit(server_->limits_.max_body_bytes);
-        stream_.expires_after(idle_limit);
+        stream_.expires_after(server_->limits_.idle_timeout);
         http::async_read(stream_, buffer_, *parser_,
                          [self = shared_from_this()](beast::error_code code, std::size_t)
                          { self->on_read(code); });
@@ -105,7 +110,7 @@
     void on_read(beast::error_code code);
     void watch_for_close();
     void write(http_response&& response);
-    void write_bad_request(std::string const& reason);
+    void write_bad_request(beast::error_code reason);
 
     std::shared_ptr<implementation> server_;
     beast::tcp_stream stream_;
@@ -114,6 +119,7 @@
     std::optional<http::response<http::string_body>> response_;
     std::weak_ptr<exchange> current_;
     bool keep_alive_ = true;
+    bool head_ = false;
     bool awaiting_answer_ = false;
 };
 
@@ -127,12 +133,12 @@
     {
         if (answered_.exchange(true))
             return;
-        asio::post(session_->server_->owner_.context(),
-                   [self = shared_from_this(), response = std::move(response)]() mutable
-                   {
-                       if (!self->abandoned_)
-                           self->session_->write(std::move(response));
-                   });
+        asio::dispatch(session_->server_->owner_.context(),
+                       [self = shared_from_this(), response = std::move(response)]() mutable
+                       {
+                           if (!self->abandoned_)
+                               self->session_->write(std::move(response));
+                       });
     }
     bool abandoned() const override { return abandoned_; }
     void when_abandoned(std::function<void()> action) override { action_ = std::move(action); }
@@ -160,11 +166,12 @@
         if (code.category() == make_error_code(http::error::bad_method).category())
         {
             ++server_->counters_.bad_requests;
-            write_bad_request(code.message());
+            write_bad_request(code);
         }
         return;
     }
     keep_alive_ = parser_->get().keep_alive() && !server_->closing_;
+    head_ = parser_->get().method() == http::verb::head;
     stream_.expires_never();
     awaiting_answer_ = true;
     auto current = std::make_shared<exchange>(shared_from_this());
@@ -198,13 +205,17 @@
 {
     awaiting_answer_ = false;
     beast::error_code ignored;
-    response_.emplace(http::int_to_status(response.status), 11);
-    response_->keep_alive(keep_alive_ && !server_->closing_);
+    response_.emplace();
+    response_->version(11);
+    response_->result(response.status);
     for (auto const& field : response.fields)
-        response_->set(field.name, field.value);
+        response_->insert(field.name, field.value);
+    response_->keep_alive(keep_alive_ && !server_->closing_);
     response_->body() = std::move(response.body);
-    response_->prepare_payload();
-    stream_.expires_after(idle_limit);
+    // The answer to HEAD states the length of the body that it leaves out.
+    if (!head_ || response_->find(http::field::content_length) == response_->end())
+        response_->prepare_payload();
+    stream_.expires_after(server_->limits_.idle_timeout);
     http::async_write(stream_, *response_,
                       [self = shared_from_this()](beast::error_code code, std::size_t)
                       {
@@ -217,10 +228,16 @@
                       });
 }
 
-void http_server::implementation::session::write_bad_request(std::string const& reason)
+void http_server::implementation::session::write_bad_request(beast::error_code reason)
 {
+    unsigned status = 400;
+    if (reason == http::error::header_limit)
+        status = 431;
+    if (reason == http::error::body_limit)
+        status = 413;
     keep_alive_ = false;
-    write(json_response(400, "{\"error\":\"malformed HTTP request: " + reason + "\"}"));
+    write(
+        json_response(status, "{\"error\":\"malformed HTTP request: " + reason.message() + "\"}"));
 }
 
 void http_server::implementation::accept()
@@ -263,6 +280,16 @@
     return implementation_->listen(where);
 }
 
+void http_server::set_limits(http_server_limits limits)
+{
+    implementation_->limits_ = limits;
+}
+
+void http_server::drain()
+{
+    implementation_->drain();
+}
+
 void http_server::close()
 {
     implementation_->close();
--- a/src/http_server.hpp
+++ b/src/http_server.hpp
@@ -8,6 +8,8 @@
 #include "ids.hpp"
 
 #include <atomic>
+#include <chrono>
+#include <functional>
 #include <memory>
 
 namespace guavashed
@@ -41,6 +43,8 @@
     std::size_t max_header_bytes = 16 * 1024;
     std::size_t max_body_bytes = 256 * 1024;
     std::size_t max_connections = 4096;
+    /// Longest time from a connection's last answer to the whole of its next request.
+    std::chrono::milliseconds idle_timeout{60000};
 };
 
 struct http_server_counters
@@ -60,6 +64,11 @@
 
     /// Binds and starts accepting. Call once, from any thread before traffic starts.
     result<void> listen(endpoint_text const& where);
+    /// Applies to requests that are read from now on. Thread safety: the owner's duty.
+    void set_limits(http_server_limits limits);
+    /// From now on each answer ends its connection; new connections are still accepted. Thread
+    /// safe.
+    void drain();
     /// Stops accepting new connections; open ones go on with "Connection: close". Thread safe.
     void close();
     /// Thread safe.
--- a/src/instant.hpp
+++ b/src/instant.hpp
@@ -4,12 +4,32 @@
 
 #include <chrono>
 #include <cstdint>
+#include <ctime>
 
 namespace guavashed
 {
 
-/// A point on this host's monotonic clock; never sent to another host.
-using instant = std::chrono::steady_clock::time_point;
+/// Time since the host started, suspensions included. `std::chrono::steady_clock` stands still
+/// while a host is suspended, so a lease counted on it would outlive its promise.
+struct boot_clock
+{
+    using duration = std::chrono::nanoseconds;
+    using rep = duration::rep;
+    using period = duration::period;
+    using time_point = std::chrono::time_point<boot_clock>;
+    static constexpr bool is_steady = true;
+
+    /// Thread safe.
+    static time_point now() noexcept
+    {
+        timespec at{};
+        clock_gettime(CLOCK_BOOTTIME, &at);
+        return time_point(std::chrono::seconds(at.tv_sec) + std::chrono::nanoseconds(at.tv_nsec));
+    }
+};
+
+/// A point on this host's boot clock; never sent to another host.
+using instant = boot_clock::time_point;
 
 /// A point on the wall clock, for records that outlive a process.
 using wall_instant = std::chrono::system_clock::time_point;
@@ -26,6 +46,15 @@
         std::chrono::duration_cast<milliseconds>(deadline - now).count());
 }
 
+/// The steady-clock point at which a timer for `deadline` fires. Thread safe.
+inline std::chrono::steady_clock::time_point timer_point(instant deadline)
+{
+    constexpr std::chrono::hours farthest{24};
+    auto const left = deadline - boot_clock::now();
+    return std::chrono::steady_clock::now() +
+           (left > farthest ? std::chrono::nanoseconds(farthest) : left);
+}
+
 /// Milliseconds since the epoch of the wall clock. Thread safe.
 inline std::int64_t wall_ms(wall_instant at)
 {
--- a/src/log.cpp
+++ b/src/log.cpp
@@ -1,44 +1,186 @@
 #include "log.hpp"
 
-#include <easylogging++.h>
-
-INITIALIZE_EASYLOGGINGPP
+#include <atomic>
+#include <cerrno>
+#include <chrono>
+#include <condition_variable>
+#include <ctime>
+#include <mutex>
+#include <thread>
+#include <unistd.h>
 
 namespace guavashed
 {
 namespace
 {
 
-std::string process_label = "guavashed";
+constexpr std::size_t max_queued_bytes = 512 * 1024;
+/// One write for all lines of so long: each wake-up and system call costs processor time.
+constexpr std::chrono::milliseconds write_interval{200};
+constexpr std::size_t stamp_bytes = 40;
+/// Bound on lines about requests, for each second.
+constexpr std::uint64_t request_lines_per_s = 500;
 
-} // namespace
+class log_writer
+{
+public:
+    void start(std::string label)
+    {
+        std::lock_guard const guard(mutex_);
+        label_ = std::move(label);
+        if (!thread_.joinable())
+            thread_ = std::thread([this] { run(); });
+    }
 
-void start_log(std::string const& process_name)
+    void add(char const* level, std::string_view event, std::string const& fields)
+    {
+        std::string const line = stamp() + " level=" + level + " process=" + label_ +
+                                 " event=" + std::string(event) + " " + fields + "\n";
+        std::lock_guard const guard(mutex_);
+        if (stopped_ || queued_.size() + line.size() > max_queued_bytes)
+        {
+            ++dropped_;
+            return;
+        }
+        queued_ += line;
+    }
+
+    bool admit_request()
+    {
+        auto const second = static_cast<std::uint64_t>(std::time(nullptr));
+        if (second_.exchange(second) != second)
+            in_second_ = 0;
+        if (++in_second_ <= request_lines_per_s)
+            return true;
+        ++dropped_;
+        return false;
+    }
+
+    std::uint64_t dropped() const { return dropped_; }
+
+    void stop()
+    {
+        {
+            std::lock_guard const guard(mutex_);
+            stopped_ = true;
+        }
+        wake_.notify_all();
+        if (thread_.joinable())
+            thread_.join();
+    }
+
+private:
+    static std::string stamp()
+    {
+        timespec at{};
+        clock_gettime(CLOCK_REALTIME, &at);
+        tm parts{};
+        gmtime_r(&at.tv_sec, &parts);
+        char text[stamp_bytes];
+        std::size_t const length =
+            std::strftime(text, sizeof text, "time=%Y-%m-%dT%H:%M:%S", &parts);
+        std::string const fraction = std::to_string(1000 + at.tv_nsec / 1000000);
+        return std::string(text, length) + "." + fraction.substr(1) + "Z";
+    }
+
+    void run()
+    {
+        std::unique_lock guard(mutex_);
+        while (!stopped_ || !queued_.empty())
+        {
+            if (!stopped_)
+                wake_.wait_for(guard, write_interval, [this] { return stopped_; });
+            std::string batch;
+            batch.swap(queued_);
+            if (std::uint64_t const lost = dropped_; lost != told_dropped_)
+            {
+                told_dropped_ = lost;
+                batch += stamp() + " level=warning process=" + label_ +
+                         " event=log_lines_dropped total=" + std::to_string(lost) + "\n";
+            }
+            guard.unlock();
+            write_out(batch);
+            guard.lock();
+        }
+    }
+
+    void write_out(std::string const& bytes)
+    {
+        std::size_t written = 0;
+        while (written < bytes.size())
+        {
+            ssize_t const n =
+                ::write(STDOUT_FILENO, bytes.data() + written, bytes.size() - written);
+            if (n < 0 && errno == EINTR)
+                continue;
+            if (n <= 0)
+            {
+                ++dropped_;
+                return;
+            }
+            written += static_cast<std::size_t>(n);
+        }
+    }
+
+    std::mutex mutex_;
+    std::condition_variable wake_;
+    std::thread thread_;
+    std::string label_ = "guavashed";
+    std::string queued_;
+    bool stopped_ = false;
+    std::uint64_t told_dropped_ = 0;
+    std::atomic<std::uint64_t> dropped_{0};
+    std::atomic<std::uint64_t> second_{0};
+    std::atomic<std::uint64_t> in_second_{0};
+};
+
+log_writer& writer()
 {
-    process_label = process_name;
-    el::Configurations configuration;
-    configuration.setToDefault();
-    configuration.setGlobally(el::ConfigurationType::ToFile, "false");
-    configuration.setGlobally(el::ConfigurationType::ToStandardOutput, "true");
-    configuration.setGlobally(el::ConfigurationType::Format,
-                              "time=%datetime{%Y-%M-%dT%H:%m:%s.%g} level=%level %msg");
-    el::Loggers::reconfigureLogger("default", configuration);
+    // Never destroyed: other threads may log until the process has ended.
+    static log_writer* const instance = new log_writer();
+    return *instance;
 }
 
-void log_change(log_level level, std::string_view event, std::string const& fields)
+char const* name_of(log_level level)
 {
     switch (level)
     {
     case log_level::info:
-        LOG(INFO) << "process=" << process_label << " event=" << event << " " << fields;
-        break;
+        return "info";
     case log_level::warning:
-        LOG(WARNING) << "process=" << process_label << " event=" << event << " " << fields;
-        break;
+        return "warning";
     case log_level::error:
-        LOG(ERROR) << "process=" << process_label << " event=" << event << " " << fields;
-        break;
+        return "error";
     }
+    return "unknown";
+}
+
+} // namespace
+
+void start_log(std::string const& process_name)
+{
+    writer().start(process_name);
+}
+
+void log_change(log_level level, std::string_view event, std::string const& fields)
+{
+    writer().add(name_of(level), event, fields);
+}
+
+void log_request(std::string_view event, std::string const& fields)
+{
+    if (writer().admit_request())
+        writer().add("info", event, fields);
+}
+
+std::uint64_t log_lines_dropped()
+{
+    return writer().dropped();
+}
+
+void stop_log()
+{
+    writer().stop();
 }
 
 } // namespace guavashed
--- /dev/null
+++ b/src/routing/attempt_policy.hpp
@@ -0,0 +1,58 @@
+/// \file
+/// Defines attempt_policy, what follows from how one attempt at an upstream ended.
+#pragma once
+
+#include <cstdint>
+
+namespace guavashed
+{
+
+/// How an attempt ended, as far as the next step depends on it.
+struct attempt_end
+{
+    /// No byte of the request left this host.
+    bool unsent = false;
+    /// A whole answer to this request came.
+    bool answered = false;
+    unsigned status = 0;
+    /// The answer bears the upstream's signature.
+    bool is_signed = false;
+    /// The upstream states that it did not run the request.
+    bool not_executed = false;
+    /// The caller's time is up.
+    bool timed_out = false;
+};
+
+enum class attempt_verdict : std::uint8_t
+{
+    /// The answer goes to the caller as it is.
+    relay,
+    /// It has not run there: another upstream may be tried, and "not run" may be said.
+    not_run,
+    /// It may have run there; an idempotent request may be tried again.
+    may_have_run
+};
+
+/// Thread safe; no preconditions.
+constexpr attempt_verdict judge(attempt_end const& end)
+{
+    constexpr unsigned misdirected = 421;
+    if (end.unsent)
+        return attempt_verdict::not_run;
+    if (!end.answered)
+        return attempt_verdict::may_have_run;
+    if (end.status == misdirected)
+        return attempt_verdict::not_run;
+    if (end.not_executed)
+        return end.status == 429 || end.status >= 500 ? attempt_verdict::not_run
+                                                      : attempt_verdict::relay;
+    bool const success = end.status >= 200 && end.status < 300;
+    // A success without a signature is not the upstream's answer.
+    if (success && !end.is_signed)
+        return attempt_verdict::may_have_run;
+    if (end.status >= 500)
+        return attempt_verdict::may_have_run;
+    return attempt_verdict::relay;
+}
+
+} // namespace guavashed
--- /dev/null
+++ b/src/routing/placement.cpp
@@ -0,0 +1,98 @@
+#include "routing/placement.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <xxhash.h>
+
+namespace guavashed
+{
+namespace
+{
+
+/// Demand that a region is taken to have, as a part of an even share of all slots: objects that
+/// stay with their upstreams need about half of the bare work time.
+constexpr double assumed_load = 0.55;
+/// Part of its slots that a region fills with its own requests before the rest goes elsewhere.
+constexpr double local_load = 0.85;
+
+double unit_interval(std::uint64_t hash)
+{
+    return (static_cast<double>(hash >> 11) + 0.5) * 0x1.0p-53;
+}
+
+} // namespace
+
+std::vector<region_share> spread_over_regions(region_name const& own,
+                                              std::vector<region_capacity> const& capacities,
+                                              std::size_t regions)
+{
+    double total = 0;
+    double local = 0;
+    for (auto const& item : capacities)
+    {
+        total += item.slots;
+        if (item.region == own)
+            local = item.slots;
+    }
+    if (total <= 0)
+        return {};
+    double const demand =
+        assumed_load * total / static_cast<double>(std::max<std::size_t>(regions, 1));
+    double const kept = std::min(1.0, local_load * local / demand);
+    double spare = 0;
+    for (auto const& item : capacities)
+        if (item.region != own)
+            spare += std::max(0.0, local_load * item.slots - demand);
+    std::vector<region_share> out;
+    for (auto const& item : capacities)
+    {
+        if (item.region == own)
+        {
+            out.push_back({item.region, spare > 0 ? kept : 1.0});
+            continue;
+        }
+        double const free = std::max(0.0, local_load * item.slots - demand);
+        if (free > 0 && kept < 1)
+            out.push_back({item.region, (1 - kept) * free / spare});
+    }
+    if (out.empty() || (local <= 0 && spare <= 0))
+    {
+        out.clear();
+        for (auto const& item : capacities)
+            out.push_back({item.region, item.slots / total});
+    }
+    std::sort(out.begin(), out.end(),
+              [](region_share const& left, region_share const& right)
+              { return left.region < right.region; });
+    return out;
+}
+
+std::uint64_t object_hash(service_name const& service, std::string_view key)
+{
+    std::uint64_t const seed = XXH3_64bits(service.value().data(), service.value().size());
+    return XXH3_64bits_withSeed(key.data(), key.size(), seed);
+}
+
+region_name const& region_of(std::uint64_t object, std::vector<region_share> const& shares)
+{
+    double total = 0;
+    for (auto const& item : shares)
+        total += item.share;
+    double at = unit_interval(XXH3_64bits(&object, sizeof object)) * total;
+    for (auto const& item : shares)
+    {
+        at -= item.share;
+        if (at < 0)
+            return item.region;
+    }
+    return shares.back().region;
+}
+
+double home_score(std::uint64_t object, upstream_name const& upstream, double weight)
+{
+    std::uint64_t const hash =
+        XXH3_64bits_withSeed(upstream.value().data(), upstream.value().size(), object);
+    return -weight / std::log(unit_interval(hash));
+}
+
+} // namespace guavashed
--- /dev/null
+++ b/src/routing/upstream_board.cpp
@@ -0,0 +1,377 @@
+#include "routing/upstream_board.hpp"
+
+#include "invariant.hpp"
+#include "log.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <xxhash.h>
+
+namespace guavashed
+{
+namespace
+{
+
+/// Hosts that may send to a cold upstream; each sends its part of what the upstream bears.
+constexpr std::size_t warming_hosts = 4;
+/// Margin below the rate that a cold upstream bears.
+constexpr double warmup_margin = 1.2;
+/// Reports of load count half after so long.
+constexpr double load_half_life_ms = 400;
+/// Learned slowness and failure rates count half after so long without news.
+constexpr double rate_half_life_ms = 4000;
+constexpr double learning_rate = 0.1;
+/// First guesses of the service time, as parts of the latency objective.
+constexpr double first_home_part = 0.4;
+constexpr double first_other_part = 0.9;
+constexpr double max_slowness = 12;
+constexpr milliseconds first_ejection{500};
+constexpr milliseconds longest_ejection{4000};
+/// Breaks in a row after which an upstream that accepts connections is left alone.
+constexpr std::uint32_t failures_to_eject = 3;
+/// First guesses of a round trip, until connections have been timed.
+constexpr double own_domain_ms = 2;
+constexpr double own_region_ms = 12;
+constexpr double other_region_ms = 100;
+constexpr double max_spill_tokens = 3;
+
+double decay(double half_life_ms, instant since, instant now)
+{
+    double const age = std::chrono::duration<double, std::milli>(now - since).count();
+    return std::exp2(-std::max(0.0, age) / half_life_ms);
+}
+
+} // namespace
+
+upstream_board::upstream_board(board_settings settings, std::uint64_t seed)
+    : settings_(std::move(settings)), random_(seed)
+{
+}
+
+void upstream_board::configure(routing_config const& config)
+{
+    services_.clear();
+    for (auto const& service : config.services)
+        services_[service.name] = service;
+}
+
+void upstream_board::apply(fleet_changes const& changes, instant now)
+{
+    std::set<upstream_name> listed;
+    for (auto const& change : changes.upstreams)
+    {
+        upstream_name const& id = change.row.id;
+        listed.insert(id);
+        auto const held = upstreams_.find(id);
+        if (change.gone)
+        {
+            if (held != upstreams_.end() && held->second.row.born_ms <= change.row.born_ms)
+                upstreams_.erase(held);
+            continue;
+        }
+        bool const new_life =
+            held == upstreams_.end() || held->second.row.born_ms != change.row.born_ms;
+        if (new_life)
+        {
+            upstream_state fresh;
+            fresh.rates_at = now;
+            fresh.others_at = now;
+            upstreams_[id] = fresh;
+        }
+        upstream_state& state = upstreams_[id];
+        state.row = change.row;
+        state.replaced = false;
+        auto const region = settings_.regions.find(change.row.domain);
+        state.region = region == settings_.regions.end() ? region_name() : region->second;
+        state.cold_until = std::max(state.cold_until, now + milliseconds(change.cold_left_ms));
+    }
+    if (changes.whole)
+        std::erase_if(upstreams_, [&](auto const& item) { return !listed.contains(item.first); });
+    evacuated_ = {changes.evacuated.begin(), changes.evacuated.end()};
+    if (!changes.entries.empty())
+        entries_ = changes.entries;
+    shares_.clear();
+}
+
+bool upstream_board::may_warm(upstream_state const& state) const
+{
+    if (entries_.size() <= warming_hosts)
+        return true;
+    auto const score = [&](host_name const& host)
+    {
+        return XXH3_64bits_withSeed(
+            host.value().data(), host.value().size(),
+            XXH3_64bits(state.row.id.value().data(), state.row.id.value().size()));
+    };
+    auto const own = score(settings_.self);
+    std::size_t ahead = 0;
+    for (auto const& host : entries_)
+        if (host != settings_.self && score(host) > own)
+            ++ahead;
+    return ahead < warming_hosts;
+}
+
+double upstream_board::warmup_spacing_ms(upstream_state const& state) const
+{
+    auto const service = services_.find(state.row.service);
+    double const per_s = service == services_.end() ? 1 : service->second.warmup_per_s;
+    return warming_hosts * warmup_margin * 1000 / std::max(per_s, 0.1);
+}
+
+bool upstream_board::usable(upstream_state const& state, pick_request const& request, instant now,
+                            bool ejected_too) const
+{
+    if (state.row.service != request.service || state.row.draining || state.replaced)
+        return false;
+    if (evacuated_.contains(state.row.domain) || request.tried.contains(state.row.id))
+        return false;
+    auto const& regions = request.route.regions;
+    if (!regions.empty() &&
+        std::find(regions.begin(), regions.end(), state.region) == regions.end())
+        return false;
+    if (!ejected_too && now < state.ejected_until)
+        return false;
+    if (now < state.cold_until)
+        return may_warm(state) && now >= state.next_cold_send;
+    return true;
+}
+
+double upstream_board::occupancy(upstream_state const& state, instant now) const
+{
+    return state.in_flight + state.others * decay(load_half_life_ms, state.others_at, now);
+}
+
+double upstream_board::path_ms(upstream_state const& state) const
+{
+    auto const known = connect_ms_.find(state.row.domain);
+    if (known != connect_ms_.end())
+        return known->second;
+    if (state.row.domain == settings_.domain)
+        return own_domain_ms;
+    return state.region == settings_.region ? own_region_ms : other_region_ms;
+}
+
+upstream_board::service_time& upstream_board::time_of(route_config const& route)
+{
+    service_time& time = times_[route.name];
+    if (time.home_ms <= 0)
+        time = {route.objective_ms * first_home_part, route.objective_ms * first_other_part};
+    return time;
+}
+
+std::vector<region_share> const& upstream_board::shares_of(service_name const& service)
+{
+    auto const known = shares_.find(service);
+    if (known != shares_.end())
+        return known->second;
+    std::map<region_name, double> slots;
+    std::set<region_name> regions;
+    for (auto const& [domain, region] : settings_.regions)
+        regions.insert(region);
+    for (auto const& [id, state] : upstreams_)
+        if (state.row.service == service && !state.row.draining &&
+            !evacuated_.contains(state.row.domain))
+            slots[state.region] += state.row.slots;
+    std::vector<region_capacity> capacities;
+    for (auto const& [region, count] : slots)
+        capacities.push_back({region, count});
+    return shares_[service] = spread_over_regions(settings_.region, capacities, regions.size());
+}
+
+void upstream_board::rank(std::vector<candidate>& found, std::uint64_t object,
+                          std::vector<region_share> const& shares) const
+{
+    region_name const& region = shares.empty() ? settings_.region : region_of(object, shares);
+    candidate* first = nullptr;
+    candidate* second = nullptr;
+    for (auto& item : found)
+    {
+        item.score = home_score(object, item.state->row.id, item.state->row.slots);
+        if (item.state->region != region)
+            continue;
+        if (first == nullptr || item.score > first->score)
+        {
+            second = first;
+            first = &item;
+        }
+        else if (second == nullptr || item.score > second->score)
+            second = &item;
+    }
+    if (first != nullptr)
+        first->place = 0;
+    if (second != nullptr)
+        second->place = 1;
+}
+
+void upstream_board::predict(candidate& item, pick_request const& request, instant now)
+{
+    upstream_state const& state = *item.state;
+    service_time const& time = time_of(request.route);
+    double const fade = decay(rate_half_life_ms, state.rates_at, now);
+    double const slowness = 1 + (state.slowness - 1) * fade;
+    double const work =
+        (item.place == 0 ? time.home_ms
+                         : (item.place == 1 ? (time.home_ms + time.other_ms) / 2 : time.other_ms)) *
+        slowness;
+    double const slots = std::max<std::uint32_t>(state.row.slots, 1);
+    double const ahead = std::max(0.0, occupancy(state, now) + 1 - slots);
+    item.wait_ms = ahead / slots * (time.home_ms + time.other_ms) / 2 * slowness;
+    double const failing = std::min(0.9, state.failure_rate * fade);
+    item.cost_ms = path_ms(state) + item.wait_ms + work + failing * request.route.objective_ms * 2;
+}
+
+std::vector<upstream_board::candidate> upstream_board::candidates(pick_request const& request,
+                                                                  instant now)
+{
+    std::vector<candidate> found;
+    for (bool const ejected_too : {false, true})
+    {
+        for (auto& [id, state] : upstreams_)
+            if (usable(state, request, now, ejected_too))
+                found.push_back({&state});
+        if (!found.empty())
+            break;
+    }
+    return found;
+}
+
+std::optional<pick> upstream_board::choose(pick_request const& request, instant now,
+                                           no_pick& why_not)
+{
+    std::vector<candidate> found = candidates(request, now);
+    why_not = no_pick::none_usable;
+    if (found.empty())
+        return std::nullopt;
+    bool const keyed = request.route.affinity && !request.object.empty();
+    std::uint64_t const object = keyed ? object_hash(request.service, request.object) : random_();
+    rank(found, object, shares_of(request.service));
+    double& spill = spill_[request.service];
+    spill = std::min(max_spill_tokens, spill + settings_.max_spill);
+    region_name home_region;
+    for (auto const& item : found)
+        if (item.place == 0)
+            home_region = item.state->region;
+    candidate* best = nullptr;
+    candidate* best_at_home = nullptr;
+    for (auto& item : found)
+    {
+        predict(item, request, now);
+        if (best == nullptr || item.cost_ms < best->cost_ms)
+            best = &item;
+        bool const at_home = home_region == region_name() || item.state->region == home_region;
+        if (at_home && (best_at_home == nullptr || item.cost_ms < best_at_home->cost_ms))
+            best_at_home = &item;
+    }
+    if (best_at_home != nullptr && best != best_at_home)
+    {
+        if (spill >= 1)
+            spill -= 1;
+        else
+            best = best_at_home;
+    }
+    double const left = std::chrono::duration<double, std::milli>(request.deadline - now).count();
+    why_not = no_pick::too_late;
+    if (best->cost_ms > left)
+        return std::nullopt;
+    upstream_state& state = *best->state;
+    ++state.in_flight;
+    if (now < state.cold_until)
+        state.next_cold_send =
+            now + microseconds(static_cast<std::int64_t>(warmup_spacing_ms(state) * 1000));
+    return pick{state.row.id,  state.row.address, best->cost_ms,
+                best->wait_ms, best->place,       state.region != settings_.region};
+}
+
+void upstream_board::eject(upstream_state& state, instant now)
+{
+    auto const doublings = std::min<std::uint32_t>(state.failures_in_row, 4);
+    auto const span = std::min(longest_ejection, first_ejection * (1 << doublings) / 2);
+    state.ejected_until = now + span;
+    log_change(log_level::warning, "upstream_ejected",
+               "upstream=" + state.row.id.value() + " address=" + state.row.address.value() +
+                   " failures_in_row=" + std::to_string(state.failures_in_row) +
+                   " for_ms=" + std::to_string(span.count()));
+}
+
+void upstream_board::learn_time(upstream_state& state, pick const& chosen, std::string const& route,
+                                double took_ms, instant now)
+{
+    auto const known = times_.find(route);
+    if (known == times_.end())
+        return;
+    double& expected = chosen.place == 0 ? known->second.home_ms : known->second.other_ms;
+    double const work = std::max(1.0, took_ms - path_ms(state) - chosen.wait_ms);
+    double const ratio = std::clamp(work / std::max(1.0, expected), 0.3, max_slowness);
+    double const fade = decay(rate_half_life_ms, state.rates_at, now);
+    double const before = 1 + (state.slowness - 1) * fade;
+    state.slowness = before + (ratio - before) * learning_rate * 2;
+    state.failure_rate *= fade * (1 - learning_rate);
+    state.rates_at = now;
+    // A slow upstream must not pass for the service's usual time.
+    if (before < 2)
+        expected += (std::min(work, expected * 3) - expected) * learning_rate / 2;
+}
+
+void upstream_board::report(pick const& chosen, std::string const& route,
+                            attempt_report const& outcome, instant now)
+{
+    auto const at = upstreams_.find(chosen.id);
+    if (at == upstreams_.end())
+        return;
+    upstream_state& state = at->second;
+    if (state.in_flight > 0)
+        --state.in_flight;
+    if (outcome.connect_ms)
+    {
+        double& known =
+            connect_ms_.try_emplace(state.row.domain, *outcome.connect_ms).first->second;
+        known += (*outcome.connect_ms - known) * learning_rate;
+    }
+    if (outcome.cold_left_ms && *outcome.cold_left_ms > 0)
+        state.cold_until = std::max(state.cold_until, now + milliseconds(*outcome.cold_left_ms));
+    if (outcome.load)
+    {
+        double const all = outcome.load->running + outcome.load->waiting;
+        state.others = std::max(0.0, all - state.in_flight - 1);
+        state.others_at = now;
+    }
+    double const fade = decay(rate_half_life_ms, state.rates_at, now);
+    switch (outcome.result)
+    {
+    case attempt_result::answered:
+        state.failures_in_row = 0;
+        return learn_time(state, chosen, route, outcome.took_ms, now);
+    case attempt_result::shed:
+        if (!outcome.load)
+        {
+            state.others = std::max(state.others, state.row.slots * 2.0);
+            state.others_at = now;
+        }
+        state.failure_rate = state.failure_rate * fade * (1 - learning_rate) + learning_rate;
+        state.rates_at = now;
+        return;
+    case attempt_result::misdirected:
+        state.replaced = true;
+        log_change(log_level::warning, "upstream_replaced",
+                   "upstream=" + chosen.id.value() + " address=" + chosen.address.value());
+        return;
+    case attempt_result::failed:
+        state.failure_rate = state.failure_rate * fade * (1 - learning_rate) + learning_rate;
+        state.rates_at = now;
+        if (++state.failures_in_row >= failures_to_eject)
+            eject(state, now);
+        return;
+    case attempt_result::unreachable:
+        ++state.failures_in_row;
+        // It may come back cold before it has announced itself again.
+        if (auto const service = services_.find(state.row.service); service != services_.end())
+            state.cold_until = std::max(
+                state.cold_until,
+                now + milliseconds(static_cast<std::int64_t>(service->second.warmup_s * 1000)));
+        return eject(state, now);
+    case attempt_result::abandoned:
+        return;
+    }
+}
+
+} // namespace guavashed
--- a/standin/caller.cpp
+++ b/standin/caller.cpp
@@ -149,7 +149,7 @@
     {
         std::exponential_distribution<double> gap(loads_[i].per_second);
         next_[i] += microseconds(static_cast<std::int64_t>(gap(random_) * 1e6));
-        timers_[i]->expires_at(next_[i]);
+        timers_[i]->expires_at(timer_point(next_[i]));
         timers_[i]->async_wait(
             [this, i](boost::system::error_code code)
             {
