Balance an object's region by slots, not by what its own region barely carries

Ruled out: path lengths (40 ms between regions against 100 ms and more of queue). Change: a region keeps what fills 0.6 of its slots at the assumed demand (0.85 before).

--- a/src/routing/placement.cpp
+++ b/src/routing/placement.cpp
@@ -13,7 +13,7 @@
 /// stay with their upstreams need about half of the bare work time.
 constexpr double assumed_load = 0.55;
 /// Part of its slots that a region fills with its own requests before the rest goes elsewhere.
-constexpr double local_load = 0.85;
+constexpr double local_load = 0.6;
 
 double unit_interval(std::uint64_t hash)
 {
