--- a/src/routing/placement.cpp
+++ b/src/routing/placement.cpp
@@ -9,12 +9,6 @@
 namespace
 {
 
-/// Demand that a region is taken to have, as a part of an even share of all slots: objects that
-/// stay with their upstreams need about half of the bare work time.
-constexpr double assumed_load = 0.55;
-/// Part of its slots that a region fills with its own requests before the rest goes elsewhere.
-constexpr double local_load = 0.6;
-
 double unit_interval(std::uint64_t hash)
 {
     return (static_cast<double>(hash >> 11) + 0.5) * 0x1.0p-53;
@@ -36,13 +30,13 @@
     }
     if (total <= 0)
         return {};
-    double const demand =
-        assumed_load * total / static_cast<double>(std::max<std::size_t>(regions, 1));
-    double const kept = std::min(1.0, local_load * local / demand);
+    // Regions are taken to have like demand: all upstreams are then equally busy.
+    double const demand = total / static_cast<double>(std::max<std::size_t>(regions, 1));
+    double const kept = std::min(1.0, local / demand);
     double spare = 0;
     for (auto const& item : capacities)
         if (item.region != own)
-            spare += std::max(0.0, local_load * item.slots - demand);
+            spare += std::max(0.0, item.slots - demand);
     std::vector<region_share> out;
     for (auto const& item : capacities)
     {
@@ -51,7 +45,7 @@
             out.push_back({item.region, spare > 0 ? kept : 1.0});
             continue;
         }
-        double const free = std::max(0.0, local_load * item.slots - demand);
+        double const free = std::max(0.0, item.slots - demand);
         if (free > 0 && kept < 1)
             out.push_back({item.region, (1 - kept) * free / spare});
     }
--- a/src/routing/upstream_board.cpp
+++ b/src/routing/upstream_board.cpp
@@ -34,6 +34,9 @@
 constexpr double own_region_ms = 12;
 constexpr double other_region_ms = 100;
 constexpr double max_spill_tokens = 3;
+/// Requests that would be answered later than this many latency objectives are refused at once:
+/// they would take slots from requests that can still be answered in time.
+constexpr double latest_answer = 1.25;
 
 double decay(double half_life_ms, instant since, instant now)
 {
@@ -277,7 +280,7 @@
     }
     double const left = std::chrono::duration<double, std::milli>(request.deadline - now).count();
     why_not = no_pick::too_late;
-    if (best->cost_ms > left)
+    if (best->cost_ms > std::min(left, latest_answer * request.route.objective_ms))
         return std::nullopt;
     upstream_state& state = *best->state;
     ++state.in_flight;
