--- /dev/null
+++ b/test/correctness/registry/fleet_register_test.cpp
@@ -0,0 +1,215 @@
+#include "../routing/routing_support.hpp"
+#include "fleet/fleet_register.hpp"
+
+#include <catch2/catch.hpp>
+#include <random>
+#include <rapidcheck/catch.h>
+
+using namespace guavashed;
+
+namespace
+{
+
+/// A register and the index of its last entry.
+struct driven_register
+{
+    fleet_register state;
+    std::uint64_t index = 0;
+
+    register_outcome apply(register_command command, std::int64_t now_ms = 0)
+    {
+        return state.apply(log_index(++index), command, at_ms(now_ms));
+    }
+};
+
+register_command configure(std::uint64_t base, std::uint64_t version, std::uint64_t hash)
+{
+    register_command command;
+    command.kind = register_command_kind::configure;
+    command.base = config_version(base);
+    command.config = roster_config(version);
+    command.document = "document " + std::to_string(version);
+    command.order_hash = hash;
+    return command;
+}
+
+register_command announce(upstream_row row, std::uint64_t sequence = 1,
+                          std::uint32_t cold_left_ms = 0)
+{
+    register_command command;
+    command.kind = register_command_kind::announce;
+    command.upstream = std::move(row);
+    command.sequence = sequence;
+    command.cold_left_ms = cold_left_ms;
+    return command;
+}
+
+register_command leave(std::string const& id)
+{
+    register_command command;
+    command.kind = register_command_kind::leave;
+    command.upstream.id = upstream_name(id);
+    return command;
+}
+
+upstream_row born(upstream_row row, std::int64_t at)
+{
+    row.born_ms = at;
+    return row;
+}
+
+} // namespace
+
+TEST_CASE("of two configurations on one version one wins")
+{
+    driven_register held;
+    REQUIRE(held.apply(configure(0, 1, 11)) == register_outcome::accepted);
+    REQUIRE(held.apply(configure(1, 5, 15)) == register_outcome::accepted);
+    CHECK(held.apply(configure(1, 6, 16)) == register_outcome::conflict);
+    CHECK(held.state.version() == config_version(5));
+
+    SECTION("a resend of the winner is acknowledged again, also after later changes")
+    {
+        CHECK(held.apply(configure(1, 5, 15)) == register_outcome::accepted);
+        REQUIRE(held.apply(configure(5, 7, 17)) == register_outcome::accepted);
+        CHECK(held.apply(configure(1, 5, 15)) == register_outcome::accepted);
+        CHECK(held.state.version() == config_version(7));
+        CHECK(held.state.document() == "document 7");
+    }
+    SECTION("a resend of the loser is refused again")
+    {
+        CHECK(held.apply(configure(1, 6, 16)) == register_outcome::conflict);
+    }
+    SECTION("the same number with other content loses")
+    {
+        CHECK(held.apply(configure(1, 5, 99)) == register_outcome::conflict);
+        CHECK(held.apply(configure(5, 5, 98)) == register_outcome::stale_version);
+    }
+}
+
+TEST_CASE("an upstream's announcements")
+{
+    driven_register held;
+    REQUIRE(held.apply(announce(roster_upstream("u1"), 4)) == register_outcome::accepted);
+
+    SECTION("draining is not taken back by an earlier announcement that comes late")
+    {
+        upstream_row leaving = roster_upstream("u1");
+        leaving.draining = true;
+        held.apply(announce(leaving, 6));
+        held.apply(announce(roster_upstream("u1"), 5));
+        held.apply(announce(roster_upstream("u1"), 7));
+        CHECK(held.state.upstreams().at(upstream_name("u1")).row.draining);
+    }
+    SECTION("one that has left stays gone, whatever comes late")
+    {
+        held.apply(leave("u1"));
+        held.apply(announce(roster_upstream("u1"), 9));
+        CHECK(held.state.upstreams().empty());
+        CHECK(held.state.reflects(roster_upstream("u1"), 0, at_ms(0)));
+    }
+    SECTION("a new life under the same id counts anew")
+    {
+        held.apply(leave("u1"));
+        held.apply(announce(born(roster_upstream("u1"), 5000), 1));
+        CHECK(held.state.upstreams().size() == 1);
+        held.apply(announce(roster_upstream("u1"), 99));
+        CHECK(held.state.upstreams().at(upstream_name("u1")).row.born_ms == 5000);
+    }
+    SECTION("a successor takes the address, and the predecessor's late word does not take it back")
+    {
+        held.apply(announce(born(roster_upstream("u2"), 5000)));
+        CHECK(held.state.upstreams().size() == 1);
+        held.apply(announce(roster_upstream("u1"), 9));
+        REQUIRE(held.state.upstreams().size() == 1);
+        CHECK(held.state.upstreams().begin()->first == upstream_name("u2"));
+    }
+    SECTION("one that was forgotten for its silence may come back")
+    {
+        register_command forget = leave("u1");
+        forget.kind = register_command_kind::forget;
+        forget.upstream = roster_upstream("u1");
+        held.apply(forget);
+        CHECK(held.state.upstreams().empty());
+        held.apply(announce(roster_upstream("u1"), 9));
+        CHECK(held.state.upstreams().size() == 1);
+    }
+    SECTION("turning cold again is news, getting warmer is not")
+    {
+        CHECK_FALSE(held.state.reflects(roster_upstream("u1"), 3000, at_ms(0)));
+        held.apply(announce(roster_upstream("u1"), 5, 3000), 0);
+        CHECK(held.state.reflects(roster_upstream("u1"), 1500, at_ms(1500)));
+        CHECK(held.state.reflects(roster_upstream("u1"), 0, at_ms(3000)));
+        CHECK_FALSE(held.state.reflects(roster_upstream("u1"), 3000, at_ms(3100)));
+    }
+}
+
+TEST_CASE("upstreams of a restored failure domain count as cold")
+{
+    driven_register held;
+    held.apply(configure(0, 1, 11));
+    held.apply(announce(roster_upstream("u1")));
+    register_command evacuation;
+    evacuation.kind = register_command_kind::evacuate;
+    evacuation.domain = failure_domain_name("north-a");
+    held.apply(evacuation);
+    CHECK(held.state.evacuated().size() == 1);
+    evacuation.kind = register_command_kind::restore;
+    held.apply(evacuation, 100);
+    CHECK(held.state.evacuated().empty());
+    CHECK(held.state.cold_left_ms(upstream_name("u1"), at_ms(100)) >= 3000);
+
+    SECTION("a resend of the withdrawal changes nothing")
+    {
+        log_index const changed = held.state.changed();
+        held.apply(evacuation, 200);
+        CHECK(held.state.changed() == changed);
+    }
+}
+
+TEST_CASE("replicas that apply the same commands hold the same state")
+{
+    rc::prop("through snapshots taken anywhere",
+             [](std::vector<std::uint16_t> const& steps, std::uint8_t cut)
+             {
+                 driven_register whole;
+                 driven_register restarted;
+                 std::uint64_t version = 0;
+                 for (std::size_t i = 0; i < steps.size(); ++i)
+                 {
+                     std::uint16_t const step = steps[i];
+                     std::string const id = "u" + std::to_string(step % 5);
+                     register_command command;
+                     switch (step / 5 % 4)
+                     {
+                     case 0:
+                         command = configure(version, version + 1 + step % 2, step);
+                         break;
+                     case 1:
+                         command = leave(id);
+                         break;
+                     default:
+                         command = announce(born(roster_upstream(id), step % 7), step);
+                         command.upstream.address =
+                             endpoint_text("127.0.0.1:" + std::to_string(1 + step % 3));
+                         break;
+                     }
+                     std::uint64_t const before = whole.state.version().value();
+                     whole.apply(command);
+                     restarted.apply(command);
+                     version = whole.state.version().value();
+                     RC_ASSERT(version >= before);
+                     if (i == cut)
+                     {
+                         fleet_register loaded;
+                         RC_ASSERT(loaded.load(restarted.state.save()).has_value());
+                         restarted.state = loaded;
+                     }
+                     // No two upstreams ever hold one address.
+                     std::set<endpoint_text> addresses;
+                     for (auto const& [name, held] : whole.state.upstreams())
+                         RC_ASSERT(addresses.insert(held.row.address).second);
+                 }
+                 RC_ASSERT(whole.state.save() == restarted.state.save());
+             });
+}
