--- /dev/null
+++ b/test/error/platform_settings_test.cpp
@@ -0,0 +1,93 @@
+#include "settings_file.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace guavashed;
+using namespace guavashed::platform;
+
+namespace
+{
+
+std::string const file_text = R"(node_name=core-north-a-1
+role=my-core
+serves=control_plane,directory
+ip=10.1.0.12
+zone=north-a
+region=north
+zones.north-a=north
+zones.south-a=south
+listen.control=10.1.0.12:8166
+listen.directory=10.1.0.12:8164
+internal_ports=7720,7735
+seeds=10.1.0.12:8166,10.2.0.42:8166
+bootstrap=true
+limits.max_fds=4096
+data_dir=/data/my-core
+heartbeat_ms=1500
+bounds=retry_budget=0.2,budget_extra=64,ttl_max_s=5,grace_s=6
+a.field.of.tomorrow=1
+)";
+
+result<platform_settings> read(std::string const& text)
+{
+    auto const fields = read_fields(text, "boot.conf");
+    if (!fields)
+        return fields.error();
+    return read_settings(fields.value(), "boot.conf");
+}
+
+std::string without(std::string const& line_start)
+{
+    auto const from = file_text.find("\n" + line_start) + 1;
+    auto const to = file_text.find('\n', from);
+    return file_text.substr(0, from) + file_text.substr(to + 1);
+}
+
+} // namespace
+
+TEST_CASE("the platform's settings file is read")
+{
+    auto const settings = read(file_text);
+    REQUIRE(settings);
+    platform_settings const& out = settings.value();
+    CHECK(out.takes_orders);
+    CHECK(out.answers_lookups);
+    CHECK_FALSE(out.takes_callers);
+    CHECK(out.regions.at(failure_domain_name("south-a")) == region_name("south"));
+    CHECK(out.first_start);
+    CHECK(out.retry_extra == 64);
+    // Seeds are named by their operator ports; their peers answer on the first internal port.
+    REQUIRE(out.seeds.size() == 2);
+    CHECK(out.seeds[1] == endpoint_text("10.2.0.42:7720"));
+
+    registry_settings const role = registry_settings_of(out);
+    CHECK(role.peer_listen == endpoint_text("10.1.0.12:7720"));
+    CHECK(role.founding);
+    CHECK(role.resolve_keep <= std::chrono::seconds(5));
+}
+
+TEST_CASE("a settings file that cannot be used is refused by field and file")
+{
+    auto const broken = GENERATE(
+        std::pair(without("node_name"), std::string("node_name")),
+        std::pair(without("listen.control"), std::string("listen.control")),
+        std::pair(without("data_dir"), std::string("data_dir")),
+        std::pair(without("heartbeat_ms") + "heartbeat_ms=-4\n", std::string("heartbeat_ms")),
+        std::pair(without("internal_ports") + "internal_ports=77\n", std::string("internal_ports")),
+        std::pair(without("internal_ports") + "internal_ports=7,99999\n",
+                  std::string("internal_ports")),
+        std::pair(without("listen.control") + "listen.control=here:1\n",
+                  std::string("listen.control")),
+        std::pair(without("bounds") + "bounds=retry_budget=much\n", std::string("retry_budget")),
+        std::pair(without("serves") + "serves=tea\n", std::string("serves")),
+        std::pair(file_text + "a line of text\n", std::string("line 19")));
+    auto const settings = read(broken.first);
+    REQUIRE_FALSE(settings);
+    CHECK_THAT(to_string(settings.error()), Catch::Contains(broken.second));
+    CHECK_THAT(to_string(settings.error()), Catch::Contains("boot.conf"));
+}
+
+TEST_CASE("a file that is not there is an error, not a default")
+{
+    CHECK_FALSE(load_settings("/nonexistent/boot.conf"));
+}
