Run the platform's daemon as real processes in tests, and let ended calls go

Cause: an exchange kept its when_abandoned action, the action kept the call and the call its exchange: each caller that left kept its call in memory for good, and a stand-in's port stayed open. Ruled out: sockets in TIME_WAIT (reuse is set), descriptors inherited by child processes (close on exec). Change: the action is dropped with the answer or the leave. Test: abandoned_call_test, failed before. New: platform_fleet, stand-in upstream and caller of the platform's protocol, the check of the promises; child_processes is taken out of fleet.

--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -7,6 +7,7 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <optional>
+#include <utility>
 
 namespace guavashed
 {
@@ -136,6 +137,8 @@
         asio::dispatch(session_->server_->owner_.context(),
                        [self = shared_from_this(), response = std::move(response)]() mutable
                        {
+                           // The action may hold this exchange.
+                           self->action_ = nullptr;
                            if (!self->abandoned_)
                                self->session_->write(std::move(response));
                        });
@@ -146,8 +149,9 @@
     void abandon()
     {
         abandoned_ = true;
-        if (action_ && !answered_)
-            action_();
+        auto const action = std::exchange(action_, nullptr);
+        if (action && !answered_)
+            action();
     }
 
 private:
--- /dev/null
+++ b/standin/platform_caller.cpp
@@ -0,0 +1,142 @@
+#include "platform_caller.hpp"
+
+#include <boost/json/parse.hpp>
+#include <boost/json/value.hpp>
+#include <thread>
+
+namespace standin
+{
+using namespace guavashed;
+
+namespace
+{
+
+constexpr milliseconds look_up_interval{500};
+constexpr milliseconds look_up_limit{1000};
+constexpr milliseconds connect_limit{1000};
+
+} // namespace
+
+platform_caller::platform_caller(platform_caller_settings settings)
+    : settings_(std::move(settings)), random_(settings_.seed), duty_("caller"), client_(duty_),
+      timer_(duty_.context())
+{
+}
+
+platform_caller::~platform_caller()
+{
+    duty_.stop();
+}
+
+void platform_caller::start()
+{
+    boost::asio::post(duty_.context(), [this] { tick(); });
+}
+
+void platform_caller::tick()
+{
+    if (stopping_)
+        return;
+    if (instant::clock::now() >= next_look_up_)
+        look_up();
+    if (!entries_.empty())
+        send();
+    timer_.expires_after(microseconds(1000000 / settings_.per_s));
+    timer_.async_wait(
+        [this](boost::system::error_code code)
+        {
+            if (!code)
+                tick();
+        });
+}
+
+void platform_caller::look_up()
+{
+    next_look_up_ = instant::clock::now() + look_up_interval;
+    http_call call;
+    call.endpoint = endpoint_text(settings_.lookups[lookup_++ % settings_.lookups.size()]);
+    call.request.target = "/v1/resolve?name=" + settings_.host + "&region=" + settings_.region +
+                          "&zone=" + settings_.domain;
+    call.deadline = instant::clock::now() + look_up_limit;
+    client_.start(std::move(call),
+                  [this](http_outcome const& outcome)
+                  {
+                      if (!outcome.response || outcome.response->status != 200)
+                          return;
+                      boost::json::error_code code;
+                      auto const body = boost::json::parse(outcome.response->body, code);
+                      if (code || !body.is_object() || !body.as_object().contains("addresses"))
+                          return;
+                      entries_.clear();
+                      for (auto const& item : body.at("addresses").as_array())
+                          entries_.emplace_back(item.as_string());
+                  });
+}
+
+void platform_caller::send()
+{
+    std::string const id = "r" + std::to_string(settings_.seed) + "-" + std::to_string(++last_);
+    bool const once = random_() % 3 == 0;
+    std::string const entry = entries_[random_() % entries_.size()];
+    http_call call;
+    call.endpoint = endpoint_text(entry);
+    call.request.method = once ? "POST" : "GET";
+    call.request.target = (once ? settings_.once_prefix : settings_.idempotent_prefix) + id;
+    call.request.fields = {
+        {"Host", settings_.host},
+        {"X-Guavashed-Request-Id", id},
+        {"X-Guavashed-Request-Deadline", std::to_string(settings_.deadline_ms)},
+        {"Cookie", "X-Guavashed-Affinity-Key=" + std::to_string(random_() % settings_.objects)}};
+    call.request.body = once ? "confirm " + id : "";
+    call.deadline = instant::clock::now() + milliseconds(settings_.deadline_ms);
+    call.connect_by = instant::clock::now() + connect_limit;
+    {
+        std::lock_guard const guard(mutex_);
+        platform_call& made = calls_[id];
+        made.at_most_once = once;
+        made.at = instant::clock::now();
+        made.entry = entry;
+        ++open_;
+    }
+    client_.start(std::move(call),
+                  [this, id](http_outcome const& outcome) { on_answer(id, outcome); });
+}
+
+void platform_caller::on_answer(std::string const& id, http_outcome const& outcome)
+{
+    std::lock_guard const guard(mutex_);
+    platform_call& made = calls_[id];
+    --open_;
+    made.sent = outcome.stage == send_stage::sent;
+    made.took_ms =
+        std::chrono::duration<double, std::milli>(instant::clock::now() - made.at).count();
+    if (!outcome.response)
+        return;
+    http_response const& answer = *outcome.response;
+    made.status = answer.status;
+    made.whole = answer.status == 200 && answer.body == "answer to " + id &&
+                 answer.field("X-Guavashed-Response-Signature") == "s-" + id;
+}
+
+void platform_caller::finish()
+{
+    boost::asio::post(duty_.context(), [this] { stopping_ = true; });
+    auto const until = std::chrono::steady_clock::now() + std::chrono::seconds(10);
+    while (std::chrono::steady_clock::now() < until)
+    {
+        {
+            std::lock_guard const guard(mutex_);
+            if (open_ == 0)
+                return;
+        }
+        std::this_thread::sleep_for(std::chrono::milliseconds(10));
+    }
+}
+
+std::map<std::string, platform_call> platform_caller::calls() const
+{
+    std::lock_guard const guard(mutex_);
+    return calls_;
+}
+
+} // namespace standin
--- /dev/null
+++ b/standin/platform_caller.hpp
@@ -0,0 +1,83 @@
+/// \file
+/// Defines platform_caller, a stand-in for the callers of the users' platform.
+#pragma once
+
+#include "duty.hpp"
+#include "http_client.hpp"
+
+#include <boost/asio/steady_timer.hpp>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace standin
+{
+
+struct platform_caller_settings
+{
+    std::string host;
+    std::string idempotent_prefix;
+    std::string once_prefix;
+    /// Ports that answer look-ups.
+    std::vector<std::string> lookups;
+    std::string region;
+    std::string domain;
+    unsigned per_s = 100;
+    unsigned deadline_ms = 2000;
+    unsigned objects = 40;
+    std::uint64_t seed = 1;
+};
+
+/// What became of one request.
+struct platform_call
+{
+    bool at_most_once = false;
+    /// 0 when no whole answer came.
+    unsigned status = 0;
+    /// A success with the body and the signature of its own request.
+    bool whole = false;
+    bool sent = false;
+    guavashed::instant at;
+    double took_ms = 0;
+    std::string entry;
+};
+
+/// Sends requests at a steady rate to the entry hosts that look-ups name, on kept connections.
+/// Thread safety: all methods are thread safe.
+class platform_caller
+{
+public:
+    explicit platform_caller(platform_caller_settings settings);
+    ~platform_caller();
+
+    void start();
+    /// Sends no more and waits until each request has its outcome.
+    void finish();
+    /// By request id.
+    std::map<std::string, platform_call> calls() const;
+
+private:
+    void tick();
+    void look_up();
+    void send();
+    void on_answer(std::string const& id, guavashed::http_outcome const& outcome);
+
+    platform_caller_settings settings_;
+    std::mt19937_64 random_;
+    std::vector<std::string> entries_;
+    guavashed::instant next_look_up_;
+    std::size_t lookup_ = 0;
+    std::uint64_t last_ = 0;
+    bool stopping_ = false;
+    mutable std::mutex mutex_;
+    std::size_t open_ = 0;
+    std::map<std::string, platform_call> calls_;
+    guavashed::duty duty_;
+    guavashed::http_client client_;
+    boost::asio::steady_timer timer_;
+};
+
+} // namespace standin
--- /dev/null
+++ b/standin/platform_upstream.cpp
@@ -0,0 +1,193 @@
+#include "platform_upstream.hpp"
+
+#include <future>
+
+namespace standin
+{
+using namespace guavashed;
+
+namespace
+{
+
+constexpr milliseconds announcement_limit{1000};
+constexpr double cold_slowdown = 2;
+
+} // namespace
+
+platform_upstream::platform_upstream(platform_upstream_settings settings)
+    : settings_(std::move(settings)), born_ms_(wall_ms(std::chrono::system_clock::now())),
+      started_(instant::clock::now()), random_(settings_.seed)
+{
+}
+
+platform_upstream::~platform_upstream()
+{
+    crash();
+}
+
+bool platform_upstream::start()
+{
+    duty_ = std::make_unique<duty>("upstream");
+    server_ = std::make_unique<http_server>(*duty_, *this, http_server_limits{});
+    client_ = std::make_unique<http_client>(*duty_);
+    timer_ = std::make_unique<boost::asio::steady_timer>(duty_->context());
+    if (!server_->listen(endpoint_text(settings_.listen)))
+        return false;
+    boost::asio::post(duty_->context(), [this] { announce(); });
+    return true;
+}
+
+void platform_upstream::drain()
+{
+    boost::asio::post(duty_->context(),
+                      [this]
+                      {
+                          draining_ = true;
+                          announce();
+                      });
+}
+
+void platform_upstream::crash()
+{
+    if (!duty_)
+        return;
+    duty_->stop();
+    waiting_.clear();
+    timer_.reset();
+    client_.reset();
+    server_.reset();
+    duty_.reset();
+}
+
+platform_upstream_record platform_upstream::record() const
+{
+    std::lock_guard const guard(mutex_);
+    return record_;
+}
+
+std::string platform_upstream::announcement() const
+{
+    auto const up = std::chrono::duration_cast<milliseconds>(instant::clock::now() - started_);
+    auto const cold_left = std::max<std::int64_t>(0, settings_.cold_ms - up.count());
+    return "{\"address\":\"" + settings_.announced + "\",\"born\":" + std::to_string(born_ms_) +
+           ",\"info\":{\"service\":\"" + settings_.service + "\",\"version\":\"v1\",\"zone\":\"" +
+           settings_.domain + "\",\"concurrency_limit\":" + std::to_string(settings_.slots) +
+           "},\"status\":{\"state\":\"" + (draining_ ? "draining" : "ready") +
+           "\",\"sequence\":" + std::to_string(sequence_) +
+           ",\"warmup_left_ms\":" + std::to_string(cold_left) + "}}";
+}
+
+void platform_upstream::announce()
+{
+    ++sequence_;
+    http_call call;
+    call.endpoint = endpoint_text(settings_.controls[control_ % settings_.controls.size()]);
+    call.request.method = "PUT";
+    call.request.target = "/v1/instances/" + settings_.id;
+    call.request.body = announcement();
+    call.deadline = instant::clock::now() + announcement_limit;
+    client_->start(std::move(call),
+                   [this, said_draining = draining_](http_outcome const& outcome)
+                   {
+                       bool const taken = outcome.response && outcome.response->status == 200;
+                       if (!taken)
+                           ++control_;
+                       else if (said_draining)
+                       {
+                           std::lock_guard const guard(mutex_);
+                           if (!record_.drain_acknowledged)
+                               record_.drain_acknowledged = instant::clock::now();
+                       }
+                       schedule_announcement();
+                   });
+}
+
+void platform_upstream::schedule_announcement()
+{
+    timer_->expires_after(milliseconds(settings_.announce_ms));
+    timer_->async_wait(
+        [this](boost::system::error_code code)
+        {
+            if (!code)
+                announce();
+        });
+}
+
+std::string platform_upstream::load() const
+{
+    return std::to_string(running_) + "," + std::to_string(waiting_.size()) + "," +
+           std::to_string(settings_.slots);
+}
+
+void platform_upstream::on_request(http_request request, std::shared_ptr<http_exchange> exchange)
+{
+    std::string const id(request.field("X-Guavashed-Request-Id"));
+    if (request.field("X-Guavashed-Target-Instance") != settings_.id)
+    {
+        std::lock_guard const guard(mutex_);
+        ++record_.misdirected;
+        return exchange->respond(
+            {421, {{"X-Guavashed-Request-Id", id}, {"X-Guavashed-Instance-Id", settings_.id}}, ""});
+    }
+    auto item = std::make_shared<work>();
+    item->id = id;
+    item->exchange = std::move(exchange);
+    bool const full = running_ >= settings_.slots && waiting_.size() >= settings_.queue;
+    {
+        std::lock_guard const guard(mutex_);
+        record_.arrivals.push_back({id, instant::clock::now(), !full});
+    }
+    if (full)
+        return item->exchange->respond(
+            {503, {{"X-Guavashed-Request-Id", id}, {"X-Guavashed-Not-Executed", "1"}}, ""});
+    item->exchange->when_abandoned(
+        [this, item]
+        {
+            item->gone = true;
+            std::lock_guard const guard(mutex_);
+            ++record_.cancelled;
+        });
+    if (running_ < settings_.slots)
+        start_work(item);
+    else
+        waiting_.push_back(item);
+}
+
+void platform_upstream::start_work(std::shared_ptr<work> const& item)
+{
+    ++running_;
+    double took = settings_.work_ms;
+    if (instant::clock::now() < started_ + milliseconds(settings_.cold_ms))
+        took *= cold_slowdown;
+    item->timer = std::make_unique<boost::asio::steady_timer>(duty_->context());
+    item->timer->expires_after(microseconds(static_cast<std::int64_t>(took * 1000)));
+    item->timer->async_wait(
+        [this, item](boost::system::error_code code)
+        {
+            if (!code)
+                finish(item);
+        });
+}
+
+void platform_upstream::finish(std::shared_ptr<work> const& item)
+{
+    --running_;
+    while (!waiting_.empty() && running_ < settings_.slots)
+    {
+        auto const next = waiting_.front();
+        waiting_.pop_front();
+        if (!next->gone)
+            start_work(next);
+    }
+    bool const lost =
+        std::uniform_real_distribution<double>(0, 1)(random_) < settings_.lost_answers;
+    if (item->gone || lost)
+        return;
+    item->exchange->respond({200,
+                             {{"X-Guavashed-Request-Id", item->id},
+                              {"X-Guavashed-Response-Signature", "s-" + item->id},
+                              {"X-Guavashed-Server-Load", load()}},
+                             "answer to " + item->id});
+}
+
+} // namespace standin
--- /dev/null
+++ b/standin/platform_upstream.hpp
@@ -0,0 +1,107 @@
+/// \file
+/// Defines platform_upstream, a stand-in upstream that speaks the users' platform's protocol.
+#pragma once
+
+#include "duty.hpp"
+#include "http_client.hpp"
+#include "http_server.hpp"
+
+#include <boost/asio/steady_timer.hpp>
+#include <deque>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace standin
+{
+
+struct platform_upstream_settings
+{
+    std::string id;
+    std::string service;
+    std::string domain;
+    /// Where it listens, and what it announces: a relay may stand between.
+    std::string listen;
+    std::string announced;
+    std::vector<std::string> controls;
+    unsigned slots = 4;
+    unsigned queue = 12;
+    unsigned work_ms = 40;
+    unsigned announce_ms = 300;
+    unsigned cold_ms = 0;
+    /// Share of requests that it runs without ever answering.
+    double lost_answers = 0;
+    std::uint64_t seed = 1;
+};
+
+/// What it saw; times are of the boot clock.
+struct platform_upstream_record
+{
+    struct arrival
+    {
+        std::string id;
+        guavashed::instant at;
+        bool ran = false;
+    };
+    std::vector<arrival> arrivals;
+    /// When a control host first acknowledged that it is draining.
+    std::optional<guavashed::instant> drain_acknowledged;
+    std::uint64_t misdirected = 0;
+    std::uint64_t cancelled = 0;
+};
+
+/// Runs on a duty of its own. Thread safety: all methods are thread safe.
+class platform_upstream : public guavashed::http_handler
+{
+public:
+    explicit platform_upstream(platform_upstream_settings settings);
+    ~platform_upstream() override;
+
+    bool start();
+    /// Says that it is draining, until it is told to stop.
+    void drain();
+    /// Stops at once, as if it had crashed.
+    void crash();
+    platform_upstream_record record() const;
+    std::string const& id() const { return settings_.id; }
+
+    void on_request(guavashed::http_request request,
+                    std::shared_ptr<guavashed::http_exchange> exchange) override;
+
+private:
+    struct work
+    {
+        std::string id;
+        std::shared_ptr<guavashed::http_exchange> exchange;
+        std::unique_ptr<boost::asio::steady_timer> timer;
+        bool gone = false;
+    };
+    void announce();
+    void schedule_announcement();
+    std::string announcement() const;
+    void start_work(std::shared_ptr<work> const& item);
+    void finish(std::shared_ptr<work> const& item);
+    std::string load() const;
+
+    platform_upstream_settings settings_;
+    std::int64_t born_ms_;
+    guavashed::instant started_;
+    std::mt19937_64 random_;
+    std::uint64_t sequence_ = 0;
+    std::size_t control_ = 0;
+    bool draining_ = false;
+    unsigned running_ = 0;
+    std::deque<std::shared_ptr<work>> waiting_;
+    mutable std::mutex mutex_;
+    platform_upstream_record record_;
+    std::unique_ptr<guavashed::duty> duty_;
+    std::unique_ptr<guavashed::http_server> server_;
+    std::unique_ptr<guavashed::http_client> client_;
+    std::unique_ptr<boost::asio::steady_timer> timer_;
+};
+
+} // namespace standin
--- /dev/null
+++ b/test/error/abandoned_call_test.cpp
@@ -0,0 +1,70 @@
+#include "http_client.hpp"
+#include "http_server.hpp"
+
+#include <catch2/catch.hpp>
+#include <future>
+#include <thread>
+
+using namespace guavashed;
+
+namespace
+{
+
+constexpr char const* listen_address = "127.0.0.1:18473";
+
+/// Keeps each request together with its exchange, as an owner of calls does.
+class keeping_handler : public http_handler
+{
+public:
+    struct kept_call
+    {
+        std::shared_ptr<http_exchange> exchange;
+    };
+
+    void on_request(http_request, std::shared_ptr<http_exchange> exchange) override
+    {
+        auto const item = std::make_shared<kept_call>();
+        item->exchange = std::move(exchange);
+        last = item;
+        item->exchange->when_abandoned([this, item] { ++abandoned; });
+        if (answers)
+            item->exchange->respond({200, {}, "answer"});
+    }
+
+    std::weak_ptr<kept_call> last;
+    std::atomic<int> abandoned{0};
+    bool answers = false;
+};
+
+} // namespace
+
+TEST_CASE("a call that has ended is let go with its connection")
+{
+    duty owner("server");
+    duty client_duty("client");
+    keeping_handler handler;
+    http_server server(owner, handler, {});
+    REQUIRE(server.listen(endpoint_text(listen_address)));
+    http_client client(client_duty);
+    handler.answers = GENERATE(false, true);
+
+    std::promise<http_outcome> done;
+    boost::asio::post(client_duty.context(),
+                      [&]
+                      {
+                          http_call call;
+                          call.endpoint = endpoint_text(listen_address);
+                          call.deadline = instant::clock::now() + milliseconds(200);
+                          client.start(std::move(call), [&done](http_outcome outcome)
+                                       { done.set_value(std::move(outcome)); });
+                      });
+    auto const outcome = done.get_future().get();
+    CHECK(outcome.response.has_value() == handler.answers);
+    // The server notices the closed connection on its own thread.
+    for (int i = 0; i < 100 && !handler.last.expired(); ++i)
+        std::this_thread::sleep_for(milliseconds(10));
+    CHECK(handler.last.expired());
+    CHECK(handler.abandoned == (handler.answers ? 0 : 1));
+    owner.stop();
+    client_duty.stop();
+}
--- a/test/fleet/fleet.cpp
+++ b/test/fleet/fleet.cpp
@@ -2,18 +2,12 @@
 
 #include <chrono>
 #include <csignal>
-#include <fcntl.h>
 #include <filesystem>
 #include <fstream>
 #include <iostream>
 #include <set>
-#include <spawn.h>
 #include <sstream>
-#include <sys/wait.h>
 #include <thread>
-#include <unistd.h>
-
-extern char** environ;
 
 namespace fleet_test
 {
@@ -29,14 +23,6 @@
 constexpr unsigned entry_operator = 200;
 constexpr unsigned upstream_first = 300;
 
-std::string read_file(std::string const& path)
-{
-    std::ifstream file(path);
-    std::ostringstream out;
-    out << file.rdbuf();
-    return out.str();
-}
-
 void pause_ms(int ms)
 {
     std::this_thread::sleep_for(std::chrono::milliseconds(ms));
@@ -44,7 +30,7 @@
 
 } // namespace
 
-fleet::fleet(fleet_options options) : options_(std::move(options))
+fleet::fleet(fleet_options options) : options_(std::move(options)), processes_(options_.work_folder)
 {
     deployment_ = json::parse(read_file(options_.example_folder + "/deployment.json")).as_object();
     if (options_.base_port == 0)
@@ -114,17 +100,6 @@
         control_names_.push_back("c" + std::to_string(i));
 }
 
-fleet::~fleet()
-{
-    for (auto& [name, item] : processes_)
-        if (!item.ended && item.id > 0)
-        {
-            ::kill(item.id, SIGCONT);
-            ::kill(item.id, SIGKILL);
-            ::waitpid(item.id, nullptr, 0);
-        }
-}
-
 std::string fleet::path(std::string const& file) const
 {
     return options_.work_folder + "/" + file;
@@ -160,25 +135,7 @@
 void fleet::spawn(std::string const& name, std::string const& binary,
                   std::vector<std::string> const& arguments)
 {
-    process item;
-    item.output = path(name + ".out");
-    std::vector<std::string> all{binary};
-    all.insert(all.end(), arguments.begin(), arguments.end());
-    std::vector<char*> argv;
-    for (auto& argument : all)
-        argv.push_back(argument.data());
-    argv.push_back(nullptr);
-    posix_spawn_file_actions_t actions;
-    posix_spawn_file_actions_init(&actions);
-    posix_spawn_file_actions_addopen(&actions, 0, "/dev/null", O_RDONLY, 0);
-    posix_spawn_file_actions_addopen(&actions, 1, item.output.c_str(),
-                                     O_WRONLY | O_CREAT | O_APPEND, 0644);
-    std::string const log = path(name + ".log");
-    posix_spawn_file_actions_addopen(&actions, 2, log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
-    if (::posix_spawn(&item.id, binary.c_str(), &actions, nullptr, argv.data(), environ) != 0)
-        std::cerr << "cannot start " << binary << "\n";
-    posix_spawn_file_actions_destroy(&actions);
-    processes_[name] = item;
+    processes_.spawn(name, binary, arguments);
 }
 
 std::vector<std::string> fleet::common_arguments(std::string const& name, place const& where) const
@@ -248,7 +205,7 @@
 
 pid_t fleet::process_id(std::string const& name) const
 {
-    return processes_.at(name).id;
+    return processes_.id_of(name);
 }
 
 std::string fleet::tool(std::vector<std::string> const& arguments, int* code)
@@ -380,41 +337,22 @@
 
 void fleet::signal(std::string const& name, int number)
 {
-    process& item = processes_.at(name);
-    if (!item.ended)
-        ::kill(item.id, number);
+    processes_.signal(name, number);
 }
 
 int fleet::await(std::string const& name, double limit_s)
 {
-    process& item = processes_.at(name);
-    auto const until =
-        std::chrono::steady_clock::now() + std::chrono::milliseconds(int(limit_s * 1000));
-    while (!item.ended)
-    {
-        int state = 0;
-        if (::waitpid(item.id, &state, WNOHANG) == item.id)
-        {
-            item.ended = true;
-            item.code = WIFEXITED(state) ? WEXITSTATUS(state) : -WTERMSIG(state);
-            break;
-        }
-        if (std::chrono::steady_clock::now() > until)
-            return -1000;
-        pause_ms(5);
-    }
-    return item.code;
+    return processes_.await(name, limit_s);
 }
 
-bool fleet::running(std::string const& name) const
+bool fleet::running(std::string const& name)
 {
-    auto const at = processes_.find(name);
-    return at != processes_.end() && !at->second.ended;
+    return processes_.running(name);
 }
 
 std::string fleet::output(std::string const& name) const
 {
-    return read_file(processes_.at(name).output);
+    return processes_.output(name);
 }
 
 unsigned fleet::stop_gracefully()
@@ -426,7 +364,7 @@
             if (running(name))
                 signal(name, SIGTERM);
         for (auto const& name : *names)
-            if (processes_.contains(name))
+            if (processes_.started(name))
             {
                 int const code = await(name);
                 if (code != 0)
--- a/test/fleet/fleet.hpp
+++ b/test/fleet/fleet.hpp
@@ -2,6 +2,8 @@
 /// Defines fleet, a deployment of real processes on loopback, for the demo, the benches and tests.
 #pragma once
 
+#include "child_processes.hpp"
+
 #include <boost/json.hpp>
 #include <cstdint>
 #include <map>
@@ -37,7 +39,6 @@
     explicit fleet(fleet_options options);
     fleet(fleet const&) = delete;
     fleet& operator=(fleet const&) = delete;
-    ~fleet();
 
     /// Starts all processes and confirms the example's intent; false with a message on failure.
     bool start();
@@ -55,7 +56,7 @@
     void signal(std::string const& process, int number);
     /// Exit code, or minus the signal; -1000 when it does not end in time.
     int await(std::string const& process, double limit_s = 60);
-    bool running(std::string const& process) const;
+    bool running(std::string const& process);
     /// Standard output of a process that has ended.
     std::string output(std::string const& process) const;
 
@@ -91,13 +92,6 @@
     bool wait_until(double limit_s, bool (*ready)(fleet&));
 
 private:
-    struct process
-    {
-        pid_t id = -1;
-        std::string output;
-        bool ended = false;
-        int code = 0;
-    };
     struct place
     {
         std::string region;
@@ -129,7 +123,7 @@
     std::vector<std::string> control_names_;
     std::vector<std::string> entry_names_;
     std::vector<std::string> group_names_;
-    std::map<std::string, process> processes_;
+    child_processes processes_;
 };
 
 } // namespace fleet_test
--- /dev/null
+++ b/test/fleet/platform_fleet.cpp
@@ -0,0 +1,277 @@
+#include "platform_fleet.hpp"
+
+#include <chrono>
+#include <filesystem>
+#include <fstream>
+#include <future>
+#include <iostream>
+#include <thread>
+
+namespace fleet_test
+{
+using namespace guavashed;
+
+namespace
+{
+
+constexpr unsigned caller_port = 0;
+constexpr unsigned readiness_port = 1;
+constexpr unsigned control_port = 2;
+constexpr unsigned lookup_port = 3;
+constexpr unsigned first_peer_port = 10;
+constexpr unsigned last_peer_port = 15;
+constexpr unsigned upstream_port = 20;
+constexpr unsigned seed_count = 3;
+constexpr milliseconds call_limit{1000};
+
+void pause_ms(int ms)
+{
+    std::this_thread::sleep_for(std::chrono::milliseconds(ms));
+}
+
+} // namespace
+
+platform_fleet::platform_fleet(platform_fleet_options options)
+    : options_(std::move(options)), processes_(options_.work_folder), duty_("operator"),
+      client_(duty_)
+{
+    std::filesystem::remove_all(options_.work_folder);
+    std::filesystem::create_directories(options_.work_folder);
+    upstreams_.resize(options_.upstreams);
+}
+
+platform_fleet::place platform_fleet::place_of(unsigned i)
+{
+    static std::vector<place> const places{
+        {"north", "north-a"}, {"south", "south-a"}, {"north", "north-b"}, {"south", "south-b"}};
+    return places[i % places.size()];
+}
+
+std::string platform_fleet::control_ip(unsigned i) const
+{
+    return "127.0.2." + std::to_string(10 + i);
+}
+
+std::string platform_fleet::entry_ip(unsigned i) const
+{
+    return "127.0.2." + std::to_string(50 + i);
+}
+
+std::string platform_fleet::address(std::string const& ip, unsigned port) const
+{
+    return ip + ":" + std::to_string(options_.base_port + port);
+}
+
+std::vector<std::string> platform_fleet::control_addresses() const
+{
+    std::vector<std::string> out;
+    for (unsigned i = 0; i < options_.controls; ++i)
+        out.push_back(address(control_ip(i), control_port));
+    return out;
+}
+
+std::vector<std::string> platform_fleet::lookups() const
+{
+    std::vector<std::string> out;
+    for (unsigned i = 0; i < options_.controls; ++i)
+        out.push_back(address(control_ip(i), lookup_port));
+    return out;
+}
+
+std::string platform_fleet::common_settings(std::string const& name, std::string const& ip,
+                                            place const& where) const
+{
+    std::string seeds;
+    for (unsigned i = 0; i < std::min(seed_count, options_.controls); ++i)
+        seeds += (i == 0 ? "" : ",") + address(control_ip(i), control_port);
+    return "node_name=" + name + "\nip=" + ip + "\nzone=" + where.domain +
+           "\nregion=" + where.region +
+           "\nzones.north-a=north\nzones.north-b=north\nzones.south-a=south\nzones.south-b=south\n"
+           "internal_ports=" +
+           std::to_string(options_.base_port + first_peer_port) + "," +
+           std::to_string(options_.base_port + last_peer_port) + "\nseeds=" + seeds +
+           "\nlimits.max_fds=4096\nheartbeat_ms=300\n"
+           "bounds=retry_budget=0.2,budget_extra=64,ttl_max_s=5,grace_s=6\n";
+}
+
+void platform_fleet::spawn(std::string const& name, std::string const& settings)
+{
+    std::string const path = options_.work_folder + "/" + name + ".conf";
+    std::ofstream(path) << settings;
+    processes_.spawn(name, options_.binary, {}, {"GUAVASHED_NODE_FILE=" + path});
+}
+
+void platform_fleet::start_control(unsigned i, bool first_start)
+{
+    std::string const name = control_name(i);
+    std::string const ip = control_ip(i);
+    std::string const data = options_.work_folder + "/data-" + name;
+    std::filesystem::create_directories(data);
+    spawn(name, common_settings(name, ip, place_of(i)) + "serves=control_plane,directory\n" +
+                    "listen.control=" + address(ip, control_port) +
+                    "\nlisten.directory=" + address(ip, lookup_port) + "\ndata_dir=" + data +
+                    "\nbootstrap=" + (first_start ? "true" : "false") + "\n");
+}
+
+void platform_fleet::start_entry(unsigned i)
+{
+    std::string const name = entry_name(i);
+    std::string const ip = entry_ip(i);
+    spawn(name, common_settings(name, ip, place_of(i)) +
+                    "serves=edge\nlisten.frontend=" + address(ip, caller_port) +
+                    "\nlisten.readiness=" + address(ip, readiness_port) + "\n");
+}
+
+void platform_fleet::start_upstream(unsigned i, unsigned cold_ms)
+{
+    if (upstreams_[i])
+    {
+        upstreams_[i]->crash();
+        ended_.push_back(upstreams_[i]->record());
+    }
+    standin::platform_upstream_settings settings;
+    settings.id = "u" + std::to_string(i) + "-" + std::to_string(++lives_[i]);
+    settings.service = "roster";
+    settings.domain = place_of(i).domain;
+    settings.listen = address("127.0.3." + std::to_string(1 + i), upstream_port);
+    settings.announced = settings.listen;
+    settings.controls = control_addresses();
+    settings.work_ms = options_.work_ms;
+    settings.cold_ms = cold_ms;
+    settings.lost_answers = options_.lost_answers;
+    settings.seed = options_.seed + i;
+    upstreams_[i] = std::make_unique<standin::platform_upstream>(settings);
+    if (!upstreams_[i]->start())
+        std::cerr << "upstream " << settings.id << " cannot listen on " << settings.listen << "\n";
+}
+
+void platform_fleet::lose_disk(unsigned control)
+{
+    std::filesystem::remove_all(options_.work_folder + "/data-" + control_name(control));
+}
+
+http_outcome platform_fleet::call(http_call call)
+{
+    call.deadline = instant::clock::now() + call_limit;
+    std::promise<http_outcome> done;
+    boost::asio::post(duty_.context(),
+                      [&]
+                      {
+                          client_.start(std::move(call), [&done](http_outcome outcome)
+                                        { done.set_value(std::move(outcome)); });
+                      });
+    return done.get_future().get();
+}
+
+unsigned platform_fleet::order(unsigned control, std::string const& method,
+                               std::string const& target, std::string const& body,
+                               std::string* answer)
+{
+    http_call request;
+    request.endpoint = endpoint_text(address(control_ip(control), control_port));
+    request.request.method = method;
+    request.request.target = target;
+    request.request.body = body;
+    request.fresh_connection = true;
+    auto const outcome = call(std::move(request));
+    if (!outcome.response)
+        return 0;
+    if (answer != nullptr)
+        *answer = outcome.response->body;
+    return outcome.response->status;
+}
+
+std::string platform_fleet::document(std::uint64_t version) const
+{
+    auto const route = [](char const* prefix, char const* kind)
+    {
+        return "{\"host\":\"roster.example\",\"path_prefix\":\"" + std::string(prefix) +
+               "\",\"route_type\":\"" + kind +
+               "\",\"timeout_ms\":1000,\"target_latency_ms\":400,\"max_attempts\":2,"
+               "\"priority\":0,\"session_affinity\":true,\"service\":\"roster\"}";
+    };
+    return "{\"version\":\"r" + std::to_string(version) + "\",\"base_version\":\"r" +
+           std::to_string(accepted_) + "\",\"routes\":{\"check\":" + route("/check/", "safe") +
+           ",\"confirm\":" + route("/confirm/", "unsafe") +
+           "},\"services\":{\"roster\":{\"health_path\":\"/health\",\"max_connections\":300,"
+           "\"warmup_s\":2.0,\"warmup_per_s\":6}},\"limits\":{\"max_header_bytes\":16384,"
+           "\"max_body_bytes\":1048576,\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000}}";
+}
+
+bool platform_fleet::configure(std::uint64_t version, double limit_s)
+{
+    std::string const body = document(version);
+    auto const until =
+        std::chrono::steady_clock::now() + std::chrono::milliseconds(int(limit_s * 1000));
+    for (unsigned i = 0; std::chrono::steady_clock::now() < until; ++i)
+    {
+        if (order(i % options_.controls, "PUT", "/v1/config", body) == 200)
+        {
+            accepted_ = version;
+            return true;
+        }
+        pause_ms(50);
+    }
+    return false;
+}
+
+std::uint64_t platform_fleet::read_version(unsigned control)
+{
+    std::string answer;
+    if (order(control, "GET", "/v1/config", {}, &answer) != 200)
+        return 0;
+    constexpr std::string_view key = "\"version\":\"r";
+    auto const at = answer.find(key);
+    return at == std::string::npos ? 0 : std::stoull(answer.substr(at + key.size()));
+}
+
+bool platform_fleet::entry_ready(unsigned i)
+{
+    http_call request;
+    request.endpoint = endpoint_text(address(entry_ip(i), readiness_port));
+    request.request.target = "/v1/readiness";
+    request.fresh_connection = true;
+    auto const outcome = call(std::move(request));
+    return outcome.response && outcome.response->status == 200;
+}
+
+bool platform_fleet::wait_ready(double limit_s)
+{
+    auto const until =
+        std::chrono::steady_clock::now() + std::chrono::milliseconds(int(limit_s * 1000));
+    for (unsigned i = 0; i < options_.entries;)
+    {
+        if (entry_ready(i))
+            ++i;
+        else if (std::chrono::steady_clock::now() > until)
+            return false;
+        else
+            pause_ms(50);
+    }
+    return true;
+}
+
+bool platform_fleet::start()
+{
+    for (unsigned i = 0; i < options_.controls; ++i)
+        start_control(i, true);
+    for (unsigned i = 0; i < options_.entries; ++i)
+        start_entry(i);
+    if (!configure(1))
+        return false;
+    for (unsigned i = 0; i < options_.upstreams; ++i)
+        start_upstream(i);
+    pause_ms(1000);
+    return wait_ready(10);
+}
+
+std::vector<standin::platform_upstream_record> platform_fleet::records() const
+{
+    auto out = ended_;
+    for (auto const& item : upstreams_)
+        if (item)
+            out.push_back(item->record());
+    return out;
+}
+
+} // namespace fleet_test
--- /dev/null
+++ b/test/fleet/platform_fleet.hpp
@@ -0,0 +1,96 @@
+/// \file
+/// Defines platform_fleet, the platform's daemon as real processes with stand-ins around them.
+#pragma once
+
+#include "child_processes.hpp"
+#include "duty.hpp"
+#include "http_client.hpp"
+#include "platform_upstream.hpp"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace fleet_test
+{
+
+struct platform_fleet_options
+{
+    std::string work_folder;
+    std::string binary;
+    unsigned base_port = 21000;
+    unsigned controls = 5;
+    unsigned entries = 3;
+    unsigned upstreams = 6;
+    unsigned work_ms = 30;
+    double lost_answers = 0;
+    std::uint64_t seed = 1;
+};
+
+/// Hosts have addresses of their own in 127.0.0.0/8. Regions are "north" and "south", with two
+/// failure domains each; hosts and upstreams take turns among the domains. Thread safety: none.
+class platform_fleet
+{
+public:
+    explicit platform_fleet(platform_fleet_options options);
+
+    /// Starts all, has the first configuration accepted, and waits until entry hosts are ready.
+    bool start();
+    void start_control(unsigned i, bool first_start = false);
+    void start_entry(unsigned i);
+    /// A new life of upstream `i`, under a new id at its old address.
+    void start_upstream(unsigned i, unsigned cold_ms = 0);
+    /// Removes a control host's disk; it must have ended.
+    void lose_disk(unsigned control);
+
+    /// Sends a request to a control host; the status, 0 without an answer.
+    unsigned order(unsigned control, std::string const& method, std::string const& target,
+                   std::string const& body = {}, std::string* answer = nullptr);
+    /// Has a new version accepted through any control host; false when none takes it in time.
+    bool configure(std::uint64_t version, double limit_s = 10);
+    /// Version that a control host reads back, 0 when it does not say.
+    std::uint64_t read_version(unsigned control);
+    std::uint64_t accepted_version() const { return accepted_; }
+    bool entry_ready(unsigned i);
+    bool wait_ready(double limit_s);
+
+    child_processes& processes() { return processes_; }
+    std::string control_name(unsigned i) const { return "c" + std::to_string(i); }
+    std::string entry_name(unsigned i) const { return "e" + std::to_string(i); }
+    standin::platform_upstream& upstream(unsigned i) { return *upstreams_[i]; }
+    /// Records of all lives of all upstreams.
+    std::vector<standin::platform_upstream_record> records() const;
+    std::vector<std::string> lookups() const;
+    platform_fleet_options const& options() const { return options_; }
+    std::string log_of(std::string const& name) const { return processes_.output(name); }
+
+private:
+    struct place
+    {
+        std::string region;
+        std::string domain;
+    };
+    static place place_of(unsigned i);
+    std::string control_ip(unsigned i) const;
+    std::string entry_ip(unsigned i) const;
+    std::string address(std::string const& ip, unsigned port) const;
+    std::string common_settings(std::string const& name, std::string const& ip,
+                                place const& where) const;
+    void spawn(std::string const& name, std::string const& settings);
+    std::vector<std::string> control_addresses() const;
+    guavashed::http_outcome call(guavashed::http_call call);
+    std::string document(std::uint64_t version) const;
+
+    platform_fleet_options options_;
+    child_processes processes_;
+    std::vector<std::unique_ptr<standin::platform_upstream>> upstreams_;
+    std::vector<standin::platform_upstream_record> ended_;
+    std::map<unsigned, unsigned> lives_;
+    std::uint64_t accepted_ = 0;
+    guavashed::duty duty_;
+    guavashed::http_client client_;
+};
+
+} // namespace fleet_test
--- /dev/null
+++ b/test/fleet/platform_promises.cpp
@@ -0,0 +1,120 @@
+#include "platform_promises.hpp"
+
+#include <algorithm>
+
+namespace fleet_test
+{
+using namespace guavashed;
+
+namespace
+{
+
+/// The platform's bounds, as the fleet's settings state them.
+constexpr milliseconds drain_bound{2500};
+constexpr double retry_ratio = 0.2;
+constexpr double retry_extra = 64;
+constexpr std::chrono::seconds retry_window{10};
+
+struct seen_request
+{
+    std::size_t arrivals = 0;
+    std::size_t runs = 0;
+    std::vector<instant> at;
+};
+
+void check_call(std::string const& id, standin::platform_call const& call, seen_request const& seen,
+                std::vector<std::string>& breaches)
+{
+    std::string const what = id + " sent to " + call.entry;
+    if (call.at_most_once && seen.runs > 1)
+        breaches.push_back(what + " ran " + std::to_string(seen.runs) + " times");
+    if (call.at_most_once && call.status == 503 && seen.runs > 0)
+        breaches.push_back(what + " was called not run, and had run");
+    if (call.status == 200 && !call.whole)
+        breaches.push_back(what + " got an answer that is not its own");
+    if (call.status == 200 && seen.runs == 0)
+        breaches.push_back(what + " got a success that no upstream gave");
+    if (call.status == 404 || call.status == 400)
+        breaches.push_back(what + " is proper and got " + std::to_string(call.status));
+}
+
+void count_call(standin::platform_call const& call, promise_counts& counts)
+{
+    ++counts.calls;
+    if (call.status == 200)
+        ++counts.served;
+    else if (call.status == 503)
+        ++counts.refused;
+    else if (call.status == 0)
+        ++counts.unanswered;
+    else
+        ++counts.failed;
+}
+
+void check_drains(std::vector<standin::platform_upstream_record> const& records,
+                  std::vector<std::string>& breaches)
+{
+    for (auto const& record : records)
+        for (auto const& arrival : record.arrivals)
+            if (record.drain_acknowledged && arrival.at > *record.drain_acknowledged + drain_bound)
+                breaches.push_back(arrival.id + " reached an upstream after its drain");
+}
+
+/// Second arrivals in any window of ten seconds against the calls in it.
+void check_second_tries(std::vector<instant> first, std::vector<instant> second,
+                        std::vector<std::string>& breaches)
+{
+    std::sort(first.begin(), first.end());
+    std::sort(second.begin(), second.end());
+    auto const within = [](std::vector<instant> const& times, instant from)
+    {
+        return std::lower_bound(times.begin(), times.end(), from + retry_window) -
+               std::lower_bound(times.begin(), times.end(), from);
+    };
+    for (instant const from : second)
+    {
+        double const allowed = retry_ratio * double(within(first, from)) + retry_extra;
+        if (double(within(second, from)) <= allowed)
+            continue;
+        breaches.push_back(std::to_string(within(second, from)) + " second tries in ten seconds");
+        return;
+    }
+}
+
+} // namespace
+
+promise_report check_promises(std::map<std::string, standin::platform_call> const& calls,
+                              std::vector<standin::platform_upstream_record> const& records)
+{
+    promise_report report;
+    std::map<std::string, seen_request> seen;
+    for (auto const& record : records)
+        for (auto const& arrival : record.arrivals)
+        {
+            seen_request& request = seen[arrival.id];
+            ++request.arrivals;
+            request.runs += arrival.ran ? 1 : 0;
+            request.at.push_back(arrival.at);
+        }
+    for (auto const& [id, call] : calls)
+    {
+        count_call(call, report.counts);
+        check_call(id, call, seen[id], report.breaches);
+    }
+    std::vector<instant> first;
+    std::vector<instant> second;
+    for (auto& [id, request] : seen)
+    {
+        if (!calls.contains(id))
+            report.breaches.push_back(id + " ran, and nobody sent it");
+        std::sort(request.at.begin(), request.at.end());
+        for (std::size_t i = 0; i < request.at.size(); ++i)
+            (i == 0 ? first : second).push_back(request.at[i]);
+    }
+    report.counts.second_arrivals = second.size();
+    check_second_tries(std::move(first), std::move(second), report.breaches);
+    check_drains(records, report.breaches);
+    return report;
+}
+
+} // namespace fleet_test
