Record a failed try: an object's home in the caller's own failure domain

Try: each failure domain keeps its region's objects on upstreams of its own. Reverted; request lines now name the object.

--- a/src/fleet/gateway_calls.cpp
+++ b/src/fleet/gateway_calls.cpp
@@ -247,6 +247,7 @@
                        " status=" + std::to_string(status) + " took_ms=" + whole(took);
     if (item->route != nullptr)
         line += " route=" + item->route->name + " service=" + item->service.value() +
+                " object=" + item->facts.object +
                 " version=" + std::to_string(item->table->config().version.value()) +
                 " view=" + std::to_string(view_index_) +
                 " attempts=" + std::to_string(item->attempts) +
