Keep requests at an object's home while it is not busy, and spend the retry budget

Ruled out: waits (0 to 4 ms predicted), paths (same region). Change: away from home counts as at least twice the time at home.

--- a/src/fleet/gateway_node.cpp
+++ b/src/fleet/gateway_node.cpp
@@ -21,8 +21,10 @@
 constexpr milliseconds serve_after_notice{2800};
 /// Control hosts that are not in the newest list are dropped after a push from another one.
 constexpr std::size_t max_controls = 18;
-/// A part of the fleet's budget stays unspent, for hosts that have just come.
-constexpr double budget_part = 0.5;
+/// Parts of the fleet's budget that are spent: what hosts have kept may fall into one window with
+/// what they earn in it, and hosts that have just come are not counted yet.
+constexpr double ratio_part = 0.9;
+constexpr double extra_part = 0.5;
 
 } // namespace
 
@@ -202,8 +204,8 @@
 {
     retry_allowance& allowance = allowances_[service];
     double const hosts = std::max<double>(1, static_cast<double>(board_.entry_hosts()));
-    allowance.set(settings_.retry_ratio * budget_part,
-                  std::max(1.0, settings_.retry_extra * budget_part / hosts));
+    allowance.set(settings_.retry_ratio * ratio_part,
+                  std::max(1.0, settings_.retry_extra * extra_part / hosts));
     return allowance;
 }
 
--- a/src/routing/upstream_board.cpp
+++ b/src/routing/upstream_board.cpp
@@ -24,6 +24,9 @@
 /// First guesses of the service time, as parts of the latency objective.
 constexpr double first_home_part = 0.4;
 constexpr double first_other_part = 0.9;
+/// Least time away from an object's home, as a multiple of that at home: answers that came from the
+/// next upstream while it knew the object must not draw more objects there.
+constexpr double away_from_home = 2;
 constexpr double max_slowness = 12;
 constexpr milliseconds first_ejection{500};
 constexpr milliseconds longest_ejection{4000};
@@ -212,13 +215,11 @@
     service_time const& time = time_of(request.route);
     double const fade = decay(rate_half_life_ms, state.rates_at, now);
     double const slowness = 1 + (state.slowness - 1) * fade;
-    double const work =
-        (item.place == 0 ? time.home_ms
-                         : (item.place == 1 ? (time.home_ms + time.other_ms) / 2 : time.other_ms)) *
-        slowness;
+    double const away = std::max(time.other_ms, time.home_ms * away_from_home);
+    double const work = (item.place == 0 ? time.home_ms : away) * slowness;
     double const slots = std::max<std::uint32_t>(state.row.slots, 1);
     double const ahead = std::max(0.0, occupancy(state, now) + 1 - slots);
-    item.wait_ms = ahead / slots * (time.home_ms + time.other_ms) / 2 * slowness;
+    item.wait_ms = ahead / slots * (time.home_ms + away) / 2 * slowness;
     double const failing = std::min(0.9, state.failure_rate * fade);
     item.cost_ms = path_ms(state) + item.wait_ms + work + failing * request.route.objective_ms * 2;
 }
