--- a/standin/platform_upstream.cpp
+++ b/standin/platform_upstream.cpp
@@ -53,6 +53,10 @@
         return;
     duty_->stop();
     waiting_.clear();
+    // Each exchange holds the work that holds it.
+    for (auto const& item : open_)
+        item->exchange.reset();
+    open_.clear();
     timer_.reset();
     client_.reset();
     server_.reset();
@@ -144,9 +148,11 @@
         [this, item]
         {
             item->gone = true;
+            open_.erase(item);
             std::lock_guard const guard(mutex_);
             ++record_.cancelled;
         });
+    open_.insert(item);
     if (running_ < settings_.slots)
         start_work(item);
     else
@@ -183,6 +189,7 @@
         std::uniform_real_distribution<double>(0, 1)(random_) < settings_.lost_answers;
     if (item->gone || lost)
         return;
+    open_.erase(item);
     item->exchange->respond({200,
                              {{"X-Guavashed-Request-Id", item->id},
                               {"X-Guavashed-Response-Signature", "s-" + item->id},
--- a/standin/platform_upstream.hpp
+++ b/standin/platform_upstream.hpp
@@ -13,6 +13,7 @@
 #include <mutex>
 #include <optional>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -96,6 +97,8 @@
     bool draining_ = false;
     unsigned running_ = 0;
     std::deque<std::shared_ptr<work>> waiting_;
+    /// Work that has neither been answered nor abandoned.
+    std::set<std::shared_ptr<work>> open_;
     mutable std::mutex mutex_;
     platform_upstream_record record_;
     std::unique_ptr<guavashed::duty> duty_;
--- a/test/fleet/platform_fleet.cpp
+++ b/test/fleet/platform_fleet.cpp
@@ -21,6 +21,7 @@
 constexpr unsigned first_peer_port = 10;
 constexpr unsigned last_peer_port = 15;
 constexpr unsigned upstream_port = 20;
+constexpr unsigned relay_port = 21;
 constexpr unsigned seed_count = 3;
 constexpr milliseconds call_limit{1000};
 
@@ -38,6 +39,13 @@
     std::filesystem::remove_all(options_.work_folder);
     std::filesystem::create_directories(options_.work_folder);
     upstreams_.resize(options_.upstreams);
+    for (unsigned i = 0; options_.relays && i < options_.upstreams; ++i)
+    {
+        relays_.push_back(std::make_unique<relay>(upstream_address(i, relay_port),
+                                                  upstream_address(i, upstream_port)));
+        if (!relays_.back()->start())
+            std::cerr << "relay " << i << " cannot listen\n";
+    }
 }
 
 platform_fleet::place platform_fleet::place_of(unsigned i)
@@ -62,6 +70,11 @@
     return ip + ":" + std::to_string(options_.base_port + port);
 }
 
+std::string platform_fleet::upstream_address(unsigned i, unsigned port) const
+{
+    return address("127.0.3." + std::to_string(1 + i), port);
+}
+
 std::vector<std::string> platform_fleet::control_addresses() const
 {
     std::vector<std::string> out;
@@ -133,8 +146,8 @@
     settings.id = "u" + std::to_string(i) + "-" + std::to_string(++lives_[i]);
     settings.service = "roster";
     settings.domain = place_of(i).domain;
-    settings.listen = address("127.0.3." + std::to_string(1 + i), upstream_port);
-    settings.announced = settings.listen;
+    settings.listen = upstream_address(i, upstream_port);
+    settings.announced = upstream_address(i, options_.relays ? relay_port : upstream_port);
     settings.controls = control_addresses();
     settings.work_ms = options_.work_ms;
     settings.cold_ms = cold_ms;
@@ -200,16 +213,25 @@
 
 bool platform_fleet::configure(std::uint64_t version, double limit_s)
 {
-    std::string const body = document(version);
+    constexpr unsigned conflict = 412;
     auto const until =
         std::chrono::steady_clock::now() + std::chrono::milliseconds(int(limit_s * 1000));
     for (unsigned i = 0; std::chrono::steady_clock::now() < until; ++i)
     {
-        if (order(i % options_.controls, "PUT", "/v1/config", body) == 200)
+        unsigned const control = i % options_.controls;
+        unsigned const status = order(control, "PUT", "/v1/config", document(version));
+        if (status == 200)
         {
             accepted_ = version;
             return true;
         }
+        // An order whose acknowledgement was lost may be in force.
+        if (std::uint64_t const held = status == conflict ? read_version(control) : 0;
+            held > accepted_)
+        {
+            accepted_ = held;
+            version = std::max(version, held + 1);
+        }
         pause_ms(50);
     }
     return false;
--- a/test/fleet/platform_fleet.hpp
+++ b/test/fleet/platform_fleet.hpp
@@ -6,6 +6,7 @@
 #include "duty.hpp"
 #include "http_client.hpp"
 #include "platform_upstream.hpp"
+#include "relay.hpp"
 
 #include <cstdint>
 #include <map>
@@ -26,6 +27,8 @@
     unsigned upstreams = 6;
     unsigned work_ms = 30;
     double lost_answers = 0;
+    /// Upstreams are reached through relays.
+    bool relays = false;
     std::uint64_t seed = 1;
 };
 
@@ -60,6 +63,8 @@
     std::string control_name(unsigned i) const { return "c" + std::to_string(i); }
     std::string entry_name(unsigned i) const { return "e" + std::to_string(i); }
     standin::platform_upstream& upstream(unsigned i) { return *upstreams_[i]; }
+    /// Precondition: the options ask for relays.
+    relay& relay_of(unsigned i) { return *relays_[i]; }
     /// Records of all lives of all upstreams.
     std::vector<standin::platform_upstream_record> records() const;
     std::vector<std::string> lookups() const;
@@ -76,6 +81,7 @@
     std::string control_ip(unsigned i) const;
     std::string entry_ip(unsigned i) const;
     std::string address(std::string const& ip, unsigned port) const;
+    std::string upstream_address(unsigned i, unsigned port) const;
     std::string common_settings(std::string const& name, std::string const& ip,
                                 place const& where) const;
     void spawn(std::string const& name, std::string const& settings);
@@ -85,6 +91,7 @@
 
     platform_fleet_options options_;
     child_processes processes_;
+    std::vector<std::unique_ptr<relay>> relays_;
     std::vector<std::unique_ptr<standin::platform_upstream>> upstreams_;
     std::vector<standin::platform_upstream_record> ended_;
     std::map<unsigned, unsigned> lives_;
--- /dev/null
+++ b/test/fleet/platform_soak.cpp
@@ -0,0 +1,289 @@
+/// \file
+/// A randomised run of the platform's daemon as real processes. Faults come from outside, in series
+/// and overlapping: signals, lost disks, relays, planned changes. What must hold is checked from
+/// what callers, upstreams and the operator see. The same seed draws the same faults. Exits
+/// non-zero when a promise broke.
+#include "arguments.hpp"
+#include "platform_caller.hpp"
+#include "platform_fleet.hpp"
+#include "platform_promises.hpp"
+
+#include <algorithm>
+#include <csignal>
+#include <functional>
+#include <iostream>
+#include <random>
+#include <set>
+#include <thread>
+
+namespace
+{
+using namespace fleet_test;
+using steady = std::chrono::steady_clock;
+
+/// Two disks may be lost at once; a host that comes back blank counts as lost for so long.
+constexpr std::chrono::seconds disk_recovery{5};
+constexpr unsigned max_disks_lost = 2;
+
+class fault_source
+{
+public:
+    fault_source(platform_fleet& fleet, std::uint64_t seed) : fleet_(fleet), random_(seed) {}
+
+    /// Undoes what is due, then draws one more fault.
+    void step()
+    {
+        undo(false);
+        using fault = void (fault_source::*)();
+        static constexpr fault faults[] = {
+            &fault_source::kill_entry,     &fault_source::stop_entry,
+            &fault_source::freeze_entry,   &fault_source::kill_control,
+            &fault_source::stop_control,   &fault_source::freeze_control,
+            &fault_source::lose_disk,      &fault_source::kill_all_controls,
+            &fault_source::crash_upstream, &fault_source::drain_upstream,
+            &fault_source::spoil_link,     &fault_source::reset_links,
+            &fault_source::configure,      &fault_source::evacuate,
+            &fault_source::reload};
+        (this->*faults[random_() % std::size(faults)])();
+    }
+
+    /// Ends all faults that are under way.
+    void finish() { undo(true); }
+    std::vector<std::string> const& breaches() const { return breaches_; }
+
+    /// What was acknowledged must be read back, and nothing older from any host.
+    void check_version()
+    {
+        std::uint64_t const accepted = fleet_.accepted_version();
+        for (unsigned i = 0; i < fleet_.options().controls; ++i)
+            if (std::uint64_t const read = fleet_.read_version(i); read != 0 && read < accepted)
+                breaches_.push_back(fleet_.control_name(i) + " reads version " +
+                                    std::to_string(read) + " after " + std::to_string(accepted));
+    }
+
+private:
+    struct pending_undo
+    {
+        steady::time_point due;
+        std::function<void()> action;
+    };
+
+    void say(std::string const& what) { std::cout << "  " << what << "\n"; }
+    void later(int ms, std::function<void()> action)
+    {
+        undos_.push_back({steady::now() + std::chrono::milliseconds(ms), std::move(action)});
+    }
+    void undo(bool all)
+    {
+        auto due = std::exchange(undos_, {});
+        for (auto& item : due)
+            if (all || item.due <= steady::now())
+                item.action();
+            else
+                undos_.push_back(std::move(item));
+    }
+    int span() { return 500 + static_cast<int>(random_() % 3500); }
+    unsigned any(unsigned count) { return static_cast<unsigned>(random_() % count); }
+
+    /// Ends a process that runs, and has it started again later.
+    void end(std::string const& name, int signal, std::function<void()> restart)
+    {
+        if (!fleet_.processes().running(name) || busy_.contains(name))
+            return;
+        say((signal == SIGKILL ? "kill " : "stop ") + name);
+        busy_.insert(name);
+        fleet_.processes().signal(name, signal);
+        later(span(),
+              [this, name, restart]
+              {
+                  if (fleet_.processes().await(name, 8) == -1000)
+                      breaches_.push_back(name + " did not end");
+                  busy_.erase(name);
+                  restart();
+              });
+    }
+    void freeze(std::string const& name)
+    {
+        if (!fleet_.processes().running(name) || busy_.contains(name))
+            return;
+        say("freeze " + name);
+        busy_.insert(name);
+        fleet_.processes().signal(name, SIGSTOP);
+        later(span(),
+              [this, name]
+              {
+                  fleet_.processes().signal(name, SIGCONT);
+                  busy_.erase(name);
+              });
+    }
+    void end_entry(int signal)
+    {
+        unsigned const i = any(fleet_.options().entries);
+        end(fleet_.entry_name(i), signal, [this, i] { fleet_.start_entry(i); });
+    }
+    void end_control(int signal)
+    {
+        unsigned const i = any(fleet_.options().controls);
+        end(fleet_.control_name(i), signal, [this, i] { fleet_.start_control(i); });
+    }
+
+    void kill_entry() { end_entry(SIGKILL); }
+    void stop_entry() { end_entry(SIGTERM); }
+    void freeze_entry() { freeze(fleet_.entry_name(any(fleet_.options().entries))); }
+    void kill_control() { end_control(SIGKILL); }
+    void stop_control() { end_control(SIGTERM); }
+    void freeze_control() { freeze(fleet_.control_name(any(fleet_.options().controls))); }
+    void kill_all_controls()
+    {
+        say("kill all control hosts");
+        for (unsigned i = 0; i < fleet_.options().controls; ++i)
+            end(fleet_.control_name(i), SIGKILL, [this, i] { fleet_.start_control(i); });
+    }
+    void lose_disk()
+    {
+        std::erase_if(disks_lost_, [](steady::time_point until) { return until < steady::now(); });
+        unsigned const i = any(fleet_.options().controls);
+        std::string const name = fleet_.control_name(i);
+        // Beyond two lost disks at once nothing is promised; dark hosts count like lost ones.
+        if (disks_lost_.size() >= max_disks_lost || !busy_.empty())
+            return;
+        say("lose the disk of " + name);
+        fleet_.processes().signal(name, SIGKILL);
+        fleet_.processes().await(name, 5);
+        fleet_.lose_disk(i);
+        fleet_.start_control(i);
+        disks_lost_.push_back(steady::now() + disk_recovery);
+    }
+    void crash_upstream()
+    {
+        unsigned const i = any(fleet_.options().upstreams);
+        say("crash upstream " + std::to_string(i));
+        fleet_.start_upstream(i, 2000);
+    }
+    void drain_upstream()
+    {
+        unsigned const i = any(fleet_.options().upstreams);
+        say("drain upstream " + std::to_string(i));
+        fleet_.upstream(i).drain();
+        later(4000, [this, i] { fleet_.start_upstream(i, 2000); });
+    }
+    void spoil_link()
+    {
+        static constexpr relay_mode modes[] = {relay_mode::delay, relay_mode::reset,
+                                               relay_mode::silence, relay_mode::one_way};
+        unsigned const i = any(fleet_.options().upstreams);
+        unsigned const mode = any(std::size(modes));
+        say("spoil the link of upstream " + std::to_string(i) + ", mode " + std::to_string(mode));
+        fleet_.relay_of(i).set(modes[mode]);
+        later(span(), [this, i] { fleet_.relay_of(i).set(relay_mode::pass); });
+    }
+    void reset_links()
+    {
+        say("reset connections to upstreams");
+        for (unsigned i = 0; i < fleet_.options().upstreams; ++i)
+            if (random_() % 2 == 0)
+                fleet_.relay_of(i).reset_open();
+    }
+    void configure()
+    {
+        std::uint64_t const version = fleet_.accepted_version() + 1 + random_() % 3;
+        bool const taken = fleet_.configure(version, 3);
+        say("configure " + std::to_string(version) + (taken ? "" : ": no answer"));
+        check_version();
+    }
+    void evacuate()
+    {
+        say("evacuate south-b");
+        fleet_.order(any(fleet_.options().controls), "POST", "/v1/evacuation/south-b");
+        later(span(),
+              [this]
+              {
+                  for (unsigned i = 0; i < 20; ++i)
+                      if (fleet_.order(i % fleet_.options().controls, "DELETE",
+                                       "/v1/evacuation/south-b") == 200)
+                          return;
+              });
+    }
+    void reload()
+    {
+        say("change of settings");
+        for (unsigned i = 0; i < fleet_.options().entries; ++i)
+            if (!busy_.contains(fleet_.entry_name(i)))
+                fleet_.processes().signal(fleet_.entry_name(i), SIGHUP);
+    }
+
+    platform_fleet& fleet_;
+    std::mt19937_64 random_;
+    std::vector<pending_undo> undos_;
+    std::set<std::string> busy_;
+    std::vector<steady::time_point> disks_lost_;
+    std::vector<std::string> breaches_;
+};
+
+standin::platform_caller_settings caller_settings(platform_fleet const& fleet, std::uint64_t seed)
+{
+    standin::platform_caller_settings settings;
+    settings.host = "roster.example";
+    settings.idempotent_prefix = "/check/";
+    settings.once_prefix = "/confirm/";
+    settings.lookups = fleet.lookups();
+    settings.region = "north";
+    settings.domain = "north-a";
+    settings.per_s = 120;
+    settings.seed = seed;
+    return settings;
+}
+
+void print(promise_counts const& counts)
+{
+    std::cout << "calls " << counts.calls << ", served " << counts.served << ", refused "
+              << counts.refused << ", failed " << counts.failed << ", unanswered "
+              << counts.unanswered << ", second arrivals " << counts.second_arrivals << "\n";
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    standin::arguments const given(argc, argv);
+    platform_fleet_options options;
+    options.work_folder = given.text("work", "run/platform-soak");
+    options.binary = given.text("binaries", "build") + "/guavashed-platform";
+    options.base_port = static_cast<unsigned>(given.number("base-port", 24000));
+    options.entries = static_cast<unsigned>(given.number("entries", 4));
+    options.upstreams = static_cast<unsigned>(given.number("upstreams", 8));
+    options.seed = static_cast<std::uint64_t>(given.number("seed", 1));
+    options.lost_answers = 0.02;
+    options.relays = true;
+    double const duration_s = given.number("duration-s", 30);
+    std::cout << "seed " << options.seed << ", " << duration_s << " s\n";
+    platform_fleet fleet(options);
+    if (!fleet.start())
+    {
+        std::cout << "the fleet did not start\n";
+        return 1;
+    }
+    standin::platform_caller caller(caller_settings(fleet, options.seed));
+    caller.start();
+    fault_source faults(fleet, options.seed);
+    auto const until = steady::now() + std::chrono::milliseconds(int(duration_s * 1000));
+    while (steady::now() < until)
+    {
+        faults.step();
+        std::this_thread::sleep_for(std::chrono::milliseconds(400));
+    }
+    faults.finish();
+    std::this_thread::sleep_for(std::chrono::seconds(3));
+    caller.finish();
+    std::vector<std::string> breaches = faults.breaches();
+    if (!fleet.configure(fleet.accepted_version() + 1, 15))
+        breaches.push_back("no configuration is accepted after all faults have ended");
+    faults.check_version();
+    auto const report = check_promises(caller.calls(), fleet.records());
+    breaches.insert(breaches.end(), report.breaches.begin(), report.breaches.end());
+    print(report.counts);
+    for (auto const& breach : breaches)
+        std::cout << "BROKEN: " << breach << "\n";
+    std::cout << (breaches.empty() ? "all promises held\n" : "A PROMISE BROKE\n");
+    return breaches.empty() ? 0 : 1;
+}
--- /dev/null
+++ b/test/fleet/relay.cpp
@@ -0,0 +1,175 @@
+#include "relay.hpp"
+
+#include "endpoint.hpp"
+
+#include <array>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+
+namespace fleet_test
+{
+namespace asio = boost::asio;
+using tcp = asio::ip::tcp;
+
+/// One connection and its counterpart; each direction carries one piece at a time.
+class relay::link : public std::enable_shared_from_this<link>
+{
+public:
+    link(relay& owner, tcp::socket caller)
+        : owner_(owner), caller_(std::move(caller)), target_(caller_.get_executor()),
+          to_target_{this, caller_, target_}, to_caller_{this, target_, caller_}
+    {
+    }
+
+    void start(tcp::endpoint const& target)
+    {
+        target_.async_connect(target,
+                              [self = shared_from_this()](boost::system::error_code code)
+                              {
+                                  if (code)
+                                      return self->close(false);
+                                  self->carry(self->to_target_, false);
+                                  self->carry(self->to_caller_, true);
+                              });
+    }
+
+    /// Nothing more is carried, and nothing is closed.
+    void silence() { silent_ = true; }
+
+    void close(bool reset)
+    {
+        boost::system::error_code ignored;
+        if (reset)
+        {
+            caller_.set_option(asio::socket_base::linger(true, 0), ignored);
+            target_.set_option(asio::socket_base::linger(true, 0), ignored);
+        }
+        caller_.close(ignored);
+        target_.close(ignored);
+        owner_.links_.erase(shared_from_this());
+    }
+
+private:
+    struct direction
+    {
+        direction(link* owner, tcp::socket& from_socket, tcp::socket& to_socket)
+            : from(from_socket), to(to_socket), timer(owner->caller_.get_executor())
+        {
+        }
+        tcp::socket& from;
+        tcp::socket& to;
+        asio::steady_timer timer;
+        std::array<char, 16 * 1024> piece{};
+    };
+
+    void carry(direction& way, bool from_target)
+    {
+        way.from.async_read_some(
+            asio::buffer(way.piece),
+            [self = shared_from_this(), &way, from_target](boost::system::error_code code,
+                                                           std::size_t size)
+            {
+                if (self->silent_)
+                    return;
+                if (code)
+                    return self->close(false);
+                self->pass_on(way, from_target, size);
+            });
+    }
+
+    void pass_on(direction& way, bool from_target, std::size_t size)
+    {
+        relay_mode const mode = owner_.mode_;
+        if (mode == relay_mode::one_way && from_target)
+            return carry(way, from_target);
+        way.timer.expires_after(mode == relay_mode::delay ? delay : std::chrono::milliseconds(0));
+        way.timer.async_wait(
+            [self = shared_from_this(), &way, from_target, size](boost::system::error_code)
+            {
+                asio::async_write(way.to, asio::buffer(way.piece.data(), size),
+                                  [self, &way, from_target](boost::system::error_code code,
+                                                            std::size_t)
+                                  {
+                                      if (code)
+                                          return self->close(false);
+                                      self->carry(way, from_target);
+                                  });
+            });
+    }
+
+    relay& owner_;
+    tcp::socket caller_;
+    tcp::socket target_;
+    direction to_target_;
+    direction to_caller_;
+    bool silent_ = false;
+};
+
+relay::relay(std::string const& listen, std::string const& target)
+    : listen_(listen), target_(target), duty_("relay"), acceptor_(duty_.context())
+{
+}
+
+relay::~relay()
+{
+    duty_.stop();
+    links_.clear();
+}
+
+bool relay::start()
+{
+    if (!guavashed::listen_on(acceptor_, guavashed::endpoint_text(listen_)))
+        return false;
+    asio::post(duty_.context(), [this] { accept(); });
+    return true;
+}
+
+void relay::accept()
+{
+    acceptor_.async_accept(
+        [this](boost::system::error_code code, tcp::socket socket)
+        {
+            if (code)
+                return;
+            if (mode_ == relay_mode::reset)
+            {
+                boost::system::error_code ignored;
+                socket.set_option(asio::socket_base::linger(true, 0), ignored);
+                socket.close(ignored);
+                return accept();
+            }
+            auto const target = guavashed::parse_endpoint(guavashed::endpoint_text(target_));
+            auto const item = std::make_shared<link>(*this, std::move(socket));
+            links_.insert(item);
+            if (target)
+                item->start(target.value());
+            accept();
+        });
+}
+
+void relay::set(relay_mode mode)
+{
+    mode_ = mode;
+    if (mode != relay_mode::silence)
+        return;
+    asio::post(duty_.context(),
+               [this]
+               {
+                   for (auto const& item : links_)
+                       item->silence();
+               });
+}
+
+void relay::reset_open()
+{
+    asio::post(duty_.context(),
+               [this]
+               {
+                   auto const open = links_;
+                   for (auto const& item : open)
+                       item->close(true);
+               });
+}
+
+} // namespace fleet_test
