Send a whole view to a new entry host once, and changes together

Ruled out: processor time (0.054 of a core at most), admission. Change: an entry host asks one session for a whole view; changes go out together every 200 ms; entry hosts are listed by hash, when they change, every 2 s at most; followers wait 900 ms.

--- a/src/fleet/gateway_node.cpp
+++ b/src/fleet/gateway_node.cpp
@@ -16,6 +16,8 @@
 
 constexpr milliseconds tick_interval{100};
 constexpr milliseconds report_interval{500};
+/// A whole view takes a few hundred milliseconds on the thinnest links.
+constexpr milliseconds pull_patience{1500};
 /// After the notice of a stop, callers are still served for so long: they keep the answers of
 /// look-ups for a while. What comes later is refused, so that the work under way can end.
 constexpr milliseconds serve_after_notice{2800};
@@ -92,11 +94,27 @@
 
 void gateway_node::report_to_all()
 {
-    next_report_ = instant::clock::now() + report_interval;
+    instant const now = instant::clock::now();
+    next_report_ = now + report_interval;
+    choose_puller(now);
     for (auto& [endpoint, link] : links_)
         report_to(*link);
 }
 
+void gateway_node::choose_puller(instant now)
+{
+    bool const open = sessions_.contains(puller_);
+    // One that brings nothing while the view is empty may itself be cut off.
+    bool const stuck = view_index_ == 0 && now >= pull_until_;
+    if (open && !stuck)
+        return;
+    auto next = open ? sessions_.upper_bound(puller_) : sessions_.begin();
+    if (next == sessions_.end())
+        next = sessions_.begin();
+    puller_ = next == sessions_.end() ? nullptr : next->first;
+    pull_until_ = now + pull_patience;
+}
+
 void gateway_node::report_to(frame_client& link)
 {
     entry_report out;
@@ -106,6 +124,7 @@
     out.domain = settings_.domain;
     out.ready = is_ready();
     out.view_index = view_index_;
+    out.pull = puller_ != nullptr && link.owns(*puller_);
     link.send(frame_type::entry_report, encode(out));
 }
 
@@ -114,6 +133,7 @@
     sessions_[session.get()] = instant::clock::now();
     log_change(log_level::info, "control_connected",
                "peer=" + session->peer() + " sessions=" + std::to_string(sessions_.size()));
+    choose_puller(instant::clock::now());
     for (auto& [endpoint, link] : links_)
         if (link->owns(*session))
             report_to(*link);
--- a/src/fleet/gateway_node.hpp
+++ b/src/fleet/gateway_node.hpp
@@ -102,6 +102,7 @@
     void link_to(endpoint_text const& control);
     void report_to(frame_client& link);
     void report_to_all();
+    void choose_puller(instant now);
     void on_changes(fleet_changes changes, std::string const& peer);
     void adopt_config(routing_config config);
     void adopt_controls(std::vector<endpoint_text> const& controls);
@@ -136,6 +137,9 @@
     upstream_board board_;
     std::shared_ptr<route_table> table_;
     std::uint64_t view_index_ = 0;
+    /// The session that is asked for what the view lacks.
+    frame_session* puller_ = nullptr;
+    instant pull_until_;
     std::map<service_name, retry_allowance> allowances_;
     std::uint64_t in_flight_ = 0;
     bool leaving_ = false;
--- a/src/fleet/registry_entries.cpp
+++ b/src/fleet/registry_entries.cpp
@@ -2,6 +2,7 @@
 #include "codec.hpp"
 #include "fleet/registry_node.hpp"
 #include "log.hpp"
+#include "routing/placement.hpp"
 
 #include <algorithm>
 #include <set>
@@ -11,8 +12,14 @@
 namespace
 {
 
-/// Followers push only what the leader's push has not brought by then.
-constexpr milliseconds follower_delay{250};
+/// Followers push only what the leader's push has not brought by then: a new leader takes as long
+/// to be elected.
+constexpr milliseconds follower_delay{900};
+/// Changes of so long go out together; several may come each second.
+constexpr milliseconds push_interval{200};
+/// Entry hosts come in numbers after a loss of power; the rate at which they warm upstreams bears
+/// an older list.
+constexpr milliseconds entries_interval{2000};
 /// A push that an entry host has not confirmed by then is sent again.
 constexpr milliseconds resend_after{1000};
 
@@ -43,36 +50,53 @@
         push_to(now, entry);
 }
 
+bool registry_node::push_due(instant now, entry_session const& entry) const
+{
+    if (raft_->leader() == host_name() || entry.session == nullptr || now < entry.push_due)
+        return false;
+    bool const leads = raft_->is_leader();
+    bool const behind = entry.said.view_index < newest_change();
+    if (entry.said.view_index == 0)
+        return entry.said.pull && now >= entry.resend;
+    if (!behind)
+        return leads && entry.sent_entries != entries_epoch_ && now >= entry.entries_due;
+    bool const sent = entry.sent_to >= newest_change();
+    if (sent && now < entry.resend)
+        return false;
+    return leads || entry.said.pull || now >= last_change_ + follower_delay;
+}
+
+std::uint64_t registry_node::newest_change() const
+{
+    return std::max(register_.changed().value(), std::uint64_t{1});
+}
+
 void registry_node::push_to(instant now, entry_session& entry)
 {
-    if (raft_->leader() == host_name() || entry.session == nullptr)
+    if (!push_due(now, entry))
         return;
-    std::uint64_t const newest = std::max(register_.changed().value(), std::uint64_t{1});
-    bool const behind = entry.said.view_index < newest;
-    bool const entries_due = raft_->is_leader() && entry.sent_entries != entries_epoch_;
-    if (!behind && !entries_due)
-        return;
-    bool const sent = entry.sent_to >= newest;
-    if (behind && sent && !entries_due && now < entry.resend)
-        return;
-    bool const new_host = entry.said.view_index == 0;
-    if (!raft_->is_leader() && !new_host && now < last_change_ + follower_delay)
-        return;
-    entry.sent_to = newest;
-    entry.sent_entries = entries_epoch_;
+    bool const with_entries = entry.sent_entries != entries_epoch_ && now >= entry.entries_due;
+    entry.sent_to = newest_change();
+    entry.push_due = now + push_interval;
     entry.resend = now + resend_after;
-    std::string bytes = encode(changes_since(entry.said.view_index, now));
+    if (with_entries)
+    {
+        entry.sent_entries = entries_epoch_;
+        entry.entries_due = now + entries_interval;
+    }
+    std::string bytes = encode(changes_since(entry.said.view_index, with_entries, now));
     ++counters_.pushes;
     counters_.pushed_bytes += bytes.size();
     // A session whose queue is full closes itself and erases this entry later.
     entry.session->send(frame_type::fleet_changes, std::move(bytes));
 }
 
-fleet_changes registry_node::changes_since(std::uint64_t index, instant now) const
+fleet_changes registry_node::changes_since(std::uint64_t index, bool with_entries,
+                                           instant now) const
 {
     fleet_changes out;
     out.from = index;
-    out.to = std::max(register_.changed().value(), std::uint64_t{1});
+    out.to = newest_change();
     out.whole = index == 0;
     if (register_.config_changed().value() > index || out.whole)
         if (register_.version() != config_version())
@@ -91,11 +115,13 @@
                 out.upstreams.push_back(std::move(gone));
             }
     out.evacuated.assign(register_.evacuated().begin(), register_.evacuated().end());
-    std::set<host_name> names;
+    if (!with_entries)
+        return out;
+    std::set<std::uint64_t> entries;
     for (auto const& [session, entry] : entries_)
         if (entry.said.ready)
-            names.insert(entry.said.host);
-    out.entries.assign(names.begin(), names.end());
+            entries.insert(entry_hash(entry.said.host));
+    out.entries.assign(entries.begin(), entries.end());
     std::set<endpoint_text> controls;
     for (auto const& member : raft_->membership().members)
         controls.insert(endpoint_text(member.host.value()));
--- a/src/fleet/registry_node.hpp
+++ b/src/fleet/registry_node.hpp
@@ -100,6 +100,7 @@
         std::uint64_t sent_to = 0;
         std::uint64_t sent_entries = 0;
         instant push_due;
+        instant entries_due;
         instant resend;
     };
 
@@ -139,8 +140,10 @@
 
     void on_entry_report(frame_session_ptr const& session, entry_report message);
     void push_changes(instant now);
+    bool push_due(instant now, entry_session const& entry) const;
     void push_to(instant now, entry_session& entry);
-    fleet_changes changes_since(std::uint64_t index, instant now) const;
+    std::uint64_t newest_change() const;
+    fleet_changes changes_since(std::uint64_t index, bool with_entries, instant now) const;
 
     registry_settings settings_;
     registry_protocol const& protocol_;
--- a/src/fleet/view_messages.hpp
+++ b/src/fleet/view_messages.hpp
@@ -26,11 +26,13 @@
     bool ready = false;
     /// Log index up to which its view holds all changes.
     std::uint64_t view_index = 0;
+    /// It asks this control host for what its view lacks; a whole view is sent by one host only.
+    bool pull = false;
 
     template <class Archive>
     void serialize(Archive& archive)
     {
-        archive(host, caller_endpoint, region, domain, ready, view_index);
+        archive(host, caller_endpoint, region, domain, ready, view_index, pull);
     }
 };
 
@@ -60,9 +62,10 @@
     std::optional<routing_config> config;
     std::vector<upstream_change> upstreams;
     std::vector<failure_domain_name> evacuated;
-    /// Entry hosts in session with the sender, in order of name.
-    std::vector<host_name> entries;
-    /// Endpoints of all control hosts.
+    /// Hashes of the names of entry hosts in session with the sender; empty when the receiver
+    /// knows them.
+    std::vector<std::uint64_t> entries;
+    /// Endpoints of all control hosts; empty when the receiver knows them.
     std::vector<endpoint_text> controls;
 
     template <class Archive>
--- a/src/routing/placement.cpp
+++ b/src/routing/placement.cpp
@@ -89,4 +89,9 @@
     return -weight / std::log(unit_interval(hash));
 }
 
+std::uint64_t entry_hash(host_name const& host)
+{
+    return XXH3_64bits(host.value().data(), host.value().size());
+}
+
 } // namespace guavashed
--- a/src/routing/placement.hpp
+++ b/src/routing/placement.hpp
@@ -42,4 +42,7 @@
 /// hashing). Thread safe.
 double home_score(std::uint64_t object, upstream_name const& upstream, double weight);
 
+/// An entry host's position among those that warm a cold upstream. Thread safe.
+std::uint64_t entry_hash(host_name const& host);
+
 } // namespace guavashed
--- a/src/routing/upstream_board.cpp
+++ b/src/routing/upstream_board.cpp
@@ -103,16 +103,15 @@
 {
     if (entries_.size() <= warming_hosts)
         return true;
-    auto const score = [&](host_name const& host)
-    {
-        return XXH3_64bits_withSeed(
-            host.value().data(), host.value().size(),
-            XXH3_64bits(state.row.id.value().data(), state.row.id.value().size()));
-    };
-    auto const own = score(settings_.self);
+    std::string const& id = state.row.id.value();
+    std::uint64_t const seed = XXH3_64bits(id.data(), id.size());
+    auto const score = [seed](std::uint64_t host)
+    { return XXH3_64bits_withSeed(&host, sizeof host, seed); };
+    std::uint64_t const self = entry_hash(settings_.self);
+    auto const own = score(self);
     std::size_t ahead = 0;
-    for (auto const& host : entries_)
-        if (host != settings_.self && score(host) > own)
+    for (std::uint64_t const host : entries_)
+        if (host != self && score(host) > own)
             ++ahead;
     return ahead < warming_hosts;
 }
--- a/src/routing/upstream_board.hpp
+++ b/src/routing/upstream_board.hpp
@@ -166,7 +166,8 @@
     std::mt19937_64 random_;
     std::map<upstream_name, upstream_state> upstreams_;
     std::set<failure_domain_name> evacuated_;
-    std::vector<host_name> entries_;
+    /// Hashes of the names of entry hosts.
+    std::vector<std::uint64_t> entries_;
     std::unordered_map<service_name, routed_service> services_;
     std::unordered_map<std::string, service_time> times_;
     std::unordered_map<service_name, std::vector<region_share>> shares_;
--- a/test/correctness/routing/routing_support.hpp
+++ b/test/correctness/routing/routing_support.hpp
@@ -63,7 +63,7 @@
     for (std::size_t i = 0; i < count; ++i)
         view.upstreams.push_back({roster_upstream("u" + std::to_string(i)), 0, false});
     for (std::size_t i = 0; i < entries; ++i)
-        view.entries.push_back(host_name("e" + std::to_string(i)));
+        view.entries.push_back(entry_hash(host_name("e" + std::to_string(i))));
     return view;
 }
 
