--- a/src/fleet/gateway_node.cpp
+++ b/src/fleet/gateway_node.cpp
@@ -125,8 +125,6 @@
     out.ready = is_ready();
     out.view_index = view_index_;
     out.pull = puller_ != nullptr && link.owns(*puller_);
-    for (auto const& [service, slots] : board_.demand(instant::clock::now()))
-        out.demands.push_back({service, settings_.region, slots});
     link.send(frame_type::entry_report, encode(out));
 }
 
@@ -169,8 +167,6 @@
     bool const was_ready = is_ready();
     bool const newer = changes.to > view_index_;
     board_.apply(changes, instant::clock::now());
-    if (!changes.demands.empty())
-        board_.follow(changes.demands, instant::clock::now());
     adopt_controls(changes.controls);
     if (changes.config)
         adopt_config(std::move(*changes.config));
--- a/src/fleet/registry_entries.cpp
+++ b/src/fleet/registry_entries.cpp
@@ -17,8 +17,9 @@
 constexpr milliseconds follower_delay{900};
 /// Changes of so long go out together; several may come each second.
 constexpr milliseconds push_interval{200};
-/// How often entry hosts are told of the regions' demands, and of entry hosts that came or went.
-constexpr milliseconds summary_interval{1000};
+/// Entry hosts come in numbers after a loss of power; the rate at which they warm upstreams bears
+/// an older list.
+constexpr milliseconds entries_interval{2000};
 /// A push that an entry host has not confirmed by then is sent again.
 constexpr milliseconds resend_after{1000};
 
@@ -58,7 +59,7 @@
     if (entry.said.view_index == 0)
         return entry.said.pull && now >= entry.resend;
     if (!behind)
-        return leads && now >= entry.summary_due;
+        return leads && entry.sent_entries != entries_epoch_ && now >= entry.entries_due;
     bool const sent = entry.sent_to >= newest_change();
     if (sent && now < entry.resend)
         return false;
@@ -74,24 +75,24 @@
 {
     if (!push_due(now, entry))
         return;
-    bool const with_summary = now >= entry.summary_due;
+    bool const with_entries = entry.sent_entries != entries_epoch_ && now >= entry.entries_due;
     entry.sent_to = newest_change();
     entry.push_due = now + push_interval;
     entry.resend = now + resend_after;
-    fleet_changes changes = changes_since(entry.said.view_index, now);
-    if (with_summary)
+    if (with_entries)
     {
-        entry.summary_due = now + summary_interval;
-        add_summary(entry, changes);
+        entry.sent_entries = entries_epoch_;
+        entry.entries_due = now + entries_interval;
     }
-    std::string bytes = encode(changes);
+    std::string bytes = encode(changes_since(entry.said.view_index, with_entries, now));
     ++counters_.pushes;
     counters_.pushed_bytes += bytes.size();
     // A session whose queue is full closes itself and erases this entry later.
     entry.session->send(frame_type::fleet_changes, std::move(bytes));
 }
 
-fleet_changes registry_node::changes_since(std::uint64_t index, instant now) const
+fleet_changes registry_node::changes_since(std::uint64_t index, bool with_entries,
+                                           instant now) const
 {
     fleet_changes out;
     out.from = index;
@@ -114,20 +115,12 @@
                 out.upstreams.push_back(std::move(gone));
             }
     out.evacuated.assign(register_.evacuated().begin(), register_.evacuated().end());
-    return out;
-}
-
-void registry_node::add_summary(entry_session& entry, fleet_changes& out) const
-{
-    if (raft_->is_leader())
-        out.demands = demands();
-    if (entry.sent_entries == entries_epoch_)
-        return;
-    entry.sent_entries = entries_epoch_;
+    if (!with_entries)
+        return out;
     std::set<std::uint64_t> entries;
-    for (auto const& [session, other] : entries_)
-        if (other.said.ready)
-            entries.insert(entry_hash(other.said.host));
+    for (auto const& [session, entry] : entries_)
+        if (entry.said.ready)
+            entries.insert(entry_hash(entry.said.host));
     out.entries.assign(entries.begin(), entries.end());
     std::set<endpoint_text> controls;
     for (auto const& member : raft_->membership().members)
@@ -136,17 +129,6 @@
         controls.insert(endpoint_text(host.value()));
     controls.insert(settings_.peer_listen);
     out.controls.assign(controls.begin(), controls.end());
-}
-
-std::vector<region_demand> registry_node::demands() const
-{
-    std::map<std::pair<service_name, region_name>, double> sums;
-    for (auto const& [session, entry] : entries_)
-        for (auto const& item : entry.said.demands)
-            sums[{item.service, item.region}] += item.slots;
-    std::vector<region_demand> out;
-    for (auto const& [place, slots] : sums)
-        out.push_back({place.first, place.second, slots});
     return out;
 }
 
--- a/src/fleet/registry_node.hpp
+++ b/src/fleet/registry_node.hpp
@@ -100,7 +100,7 @@
         std::uint64_t sent_to = 0;
         std::uint64_t sent_entries = 0;
         instant push_due;
-        instant summary_due;
+        instant entries_due;
         instant resend;
     };
 
@@ -143,9 +143,7 @@
     bool push_due(instant now, entry_session const& entry) const;
     void push_to(instant now, entry_session& entry);
     std::uint64_t newest_change() const;
-    fleet_changes changes_since(std::uint64_t index, instant now) const;
-    void add_summary(entry_session& entry, fleet_changes& out) const;
-    std::vector<region_demand> demands() const;
+    fleet_changes changes_since(std::uint64_t index, bool with_entries, instant now) const;
 
     registry_settings settings_;
     registry_protocol const& protocol_;
--- a/src/fleet/view_messages.hpp
+++ b/src/fleet/view_messages.hpp
@@ -2,7 +2,6 @@
 /// Defines the messages between control hosts and entry hosts.
 #pragma once
 
-#include "routing/demand.hpp"
 #include "routing/route_config.hpp"
 #include "routing/upstream_row.hpp"
 
@@ -29,13 +28,11 @@
     std::uint64_t view_index = 0;
     /// It asks this control host for what its view lacks; a whole view is sent by one host only.
     bool pull = false;
-    /// What its callers ask of each service.
-    std::vector<region_demand> demands;
 
     template <class Archive>
     void serialize(Archive& archive)
     {
-        archive(host, caller_endpoint, region, domain, ready, view_index, pull, demands);
+        archive(host, caller_endpoint, region, domain, ready, view_index, pull);
     }
 };
 
@@ -70,13 +67,11 @@
     std::vector<std::uint64_t> entries;
     /// Endpoints of all control hosts; empty when the receiver knows them.
     std::vector<endpoint_text> controls;
-    /// Sums over all entry hosts in session with the sender; empty when it does not lead.
-    std::vector<region_demand> demands;
 
     template <class Archive>
     void serialize(Archive& archive)
     {
-        archive(from, to, whole, config, upstreams, evacuated, entries, controls, demands);
+        archive(from, to, whole, config, upstreams, evacuated, entries, controls);
     }
 };
 
--- a/src/routing/placement.cpp
+++ b/src/routing/placement.cpp
@@ -9,11 +9,6 @@
 namespace
 {
 
-/// Part of its slots that a region fills with its own requests before any go elsewhere.
-constexpr double unhurried_load = 0.5;
-/// Keeps the share of a region without callers finite, in slots.
-constexpr double least_demand = 0.001;
-
 double unit_interval(std::uint64_t hash)
 {
     return (static_cast<double>(hash >> 11) + 0.5) * 0x1.0p-53;
@@ -23,50 +18,45 @@
 
 std::vector<region_share> spread_over_regions(region_name const& own,
                                               std::vector<region_capacity> const& capacities,
-                                              std::vector<region_demand> const& demands,
                                               std::size_t regions)
 {
-    double slots = 0;
+    double total = 0;
+    double local = 0;
     for (auto const& item : capacities)
-        slots += item.slots;
-    if (slots <= 0)
-        return {};
-    double const even = slots / static_cast<double>(std::max<std::size_t>(regions, 1));
-    auto const demand_of = [&](region_name const& region)
     {
-        if (demands.empty())
-            return even;
-        for (auto const& item : demands)
-            if (item.region == region)
-                return item.slots;
-        return 0.0;
-    };
-    double demand = demands.empty() ? slots : 0;
-    for (auto const& item : demands)
-        demand += item.slots;
-    // While its upstreams have slots to spare, a region keeps all of its requests.
-    double const busy = std::max(demand / slots, demands.empty() ? 0 : unhurried_load);
-    std::vector<region_share> out;
+        total += item.slots;
+        if (item.region == own)
+            local = item.slots;
+    }
+    if (total <= 0)
+        return {};
+    // Regions are taken to have like demand: all upstreams are then equally busy.
+    double const demand = total / static_cast<double>(std::max<std::size_t>(regions, 1));
+    double const kept = std::min(1.0, local / demand);
     double spare = 0;
-    double kept = 0;
+    for (auto const& item : capacities)
+        if (item.region != own)
+            spare += std::max(0.0, item.slots - demand);
+    std::vector<region_share> out;
     for (auto const& item : capacities)
     {
         if (item.region == own)
-            kept = std::min(1.0, busy * item.slots / std::max(demand_of(own), least_demand));
-        else
-            spare += std::max(0.0, busy * item.slots - demand_of(item.region));
+        {
+            out.push_back({item.region, spare > 0 ? kept : 1.0});
+            continue;
+        }
+        double const free = std::max(0.0, item.slots - demand);
+        if (free > 0 && kept < 1)
+            out.push_back({item.region, (1 - kept) * free / spare});
     }
-    if (spare <= 0 && kept > 0)
-        kept = 1;
-    for (auto const& item : capacities)
+    if (out.empty() || (local <= 0 && spare <= 0))
     {
-        double const free = std::max(0.0, busy * item.slots - demand_of(item.region));
-        double const share = item.region == own ? kept : spare > 0 ? (1 - kept) * free / spare
-                                                                   : (1 - kept) * item.slots / slots;
-        if (share > 0)
-            out.push_back({item.region, share});
+        out.clear();
+        for (auto const& item : capacities)
+            out.push_back({item.region, item.slots / total});
     }
-    std::sort(out.begin(), out.end(), [](region_share const& left, region_share const& right)
+    std::sort(out.begin(), out.end(),
+              [](region_share const& left, region_share const& right)
               { return left.region < right.region; });
     return out;
 }
--- a/src/routing/placement.hpp
+++ b/src/routing/placement.hpp
@@ -3,7 +3,6 @@
 #pragma once
 
 #include "ids.hpp"
-#include "routing/demand.hpp"
 
 #include <cstdint>
 #include <string_view>
@@ -26,13 +25,11 @@
     double share = 0;
 };
 
-/// How the requests of region `own` are spread: what its own upstreams carry stays, the rest goes to
-/// regions in proportion to their spare slots, so that all are equally busy. The same for all hosts
-/// of a region that know the same demands. Without known demands, `regions` regions are taken to have
-/// like demand. Thread safe.
+/// How the requests of region `own` are spread: as many stay as the region's upstreams carry,
+/// the rest goes to regions in proportion to their spare slots. The same for all hosts of a region.
+/// `regions` is how many regions callers come from. Thread safe.
 std::vector<region_share> spread_over_regions(region_name const& own,
                                               std::vector<region_capacity> const& capacities,
-                                              std::vector<region_demand> const& demands,
                                               std::size_t regions);
 
 /// Hash of an object of a service. Thread safe.
--- a/src/routing/upstream_board.cpp
+++ b/src/routing/upstream_board.cpp
@@ -99,12 +99,6 @@
     shares_.clear();
 }
 
-void upstream_board::follow(std::vector<region_demand> const& demands, instant now)
-{
-    demands_.follow(demands, now);
-    shares_.clear();
-}
-
 bool upstream_board::may_warm(upstream_state const& state) const
 {
     if (entries_.size() <= warming_hosts)
@@ -186,8 +180,7 @@
     std::vector<region_capacity> capacities;
     for (auto const& [region, count] : slots)
         capacities.push_back({region, count});
-    return shares_[service] = spread_over_regions(settings_.region, capacities,
-                                                  demands_.of(service), regions.size());
+    return shares_[service] = spread_over_regions(settings_.region, capacities, regions.size());
 }
 
 void upstream_board::rank(std::vector<candidate>& found, std::uint64_t object,
@@ -248,8 +241,6 @@
 std::optional<pick> upstream_board::choose(pick_request const& request, instant now,
                                            no_pick& why_not)
 {
-    if (request.tried.empty())
-        meter_.add(request.service, time_of(request.route).home_ms, now);
     std::vector<candidate> found = candidates(request, now);
     why_not = no_pick::none_usable;
     if (found.empty())
--- a/src/routing/upstream_board.hpp
+++ b/src/routing/upstream_board.hpp
@@ -102,10 +102,6 @@
     /// Brings the view up to date. Precondition: `changes.from` is at most the view's index.
     void apply(fleet_changes const& changes, instant now);
     void configure(routing_config const& config);
-    /// Takes in the regions' demands as the fleet knows them.
-    void follow(std::vector<region_demand> const& demands, instant now);
-    /// This host's own demand, in busy slots of each service.
-    std::map<service_name, double> demand(instant now) { return meter_.slots(now); }
 
     /// Picks an upstream; counts it as one more in flight there.
     std::optional<pick> choose(pick_request const& request, instant now, no_pick& why_not);
@@ -174,8 +170,6 @@
     std::vector<std::uint64_t> entries_;
     std::unordered_map<service_name, routed_service> services_;
     std::unordered_map<std::string, service_time> times_;
-    demand_meter meter_;
-    steady_demand demands_;
     std::unordered_map<service_name, std::vector<region_share>> shares_;
     /// Requests of each service that may still be moved to another region.
     std::unordered_map<service_name, double> spill_;
