Count requests that fail together as one failure of an upstream

Ruled out: repeated ejections after each end of the pause. Change: failures while it is ejected do not count. Test: upstream_board_test, failed before. Log lines of applied commands name their kind.

--- a/src/fleet/registry_orders.cpp
+++ b/src/fleet/registry_orders.cpp
@@ -33,6 +33,26 @@
     return error_response(503, fail(error_code::unavailable, "order", "", std::move(detail)));
 }
 
+char const* text_of(register_command_kind kind)
+{
+    switch (kind)
+    {
+    case register_command_kind::configure:
+        return "configure";
+    case register_command_kind::announce:
+        return "announce";
+    case register_command_kind::leave:
+        return "leave";
+    case register_command_kind::forget:
+        return "forget";
+    case register_command_kind::evacuate:
+        return "evacuate";
+    case register_command_kind::restore:
+        return "restore";
+    }
+    return "unknown";
+}
+
 std::string text_of(register_outcome outcome)
 {
     switch (outcome)
@@ -197,7 +217,7 @@
     std::string const subject = waiting == pending_.end() ? "" : " " + waiting->second.subject;
     log_change(log_level::info, "applied",
                "index=" + std::to_string(applied_.value()) +
-                   " kind=" + std::to_string(static_cast<int>(command.kind)) +
+                   " kind=" + text_of(command.kind) +
                    " origin=" + command.ticket.origin.value() + " outcome=" + text_of(outcome) +
                    " version=" + std::to_string(register_.version().value()) + subject);
     if (waiting == pending_.end())
--- a/src/routing/upstream_board.cpp
+++ b/src/routing/upstream_board.cpp
@@ -367,10 +367,15 @@
     case attempt_result::failed:
         state.failure_rate = state.failure_rate * fade * (1 - learning_rate) + learning_rate;
         state.rates_at = now;
+        if (now < state.ejected_until)
+            return;
         if (++state.failures_in_row >= failures_to_eject)
             eject(state, now);
         return;
     case attempt_result::unreachable:
+        // Requests that were under way together tell of one failure.
+        if (now < state.ejected_until)
+            return;
         ++state.failures_in_row;
         // It may come back cold before it has announced itself again.
         if (auto const service = services_.find(state.row.service); service != services_.end())
--- a/test/correctness/routing/upstream_board_test.cpp
+++ b/test/correctness/routing/upstream_board_test.cpp
@@ -182,3 +182,15 @@
         CHECK_FALSE(pick_for(board, "block 7", 40).empty());
     }
 }
+
+TEST_CASE("requests that fail together count as one failure")
+{
+    upstream_board board = board_of(whole_view(2));
+    std::string const home = pick_for(board, "block 7", 0);
+    // All of them were under way when the upstream became unreachable.
+    for (int i = 0; i < 6; ++i)
+        report(board, home, attempt_result::unreachable, 10 + i);
+    // Not before it bears a cold upstream's rate again, and not as late as after six failures.
+    CHECK(pick_for(board, "block 7", 400) != home);
+    CHECK(pick_for(board, "block 7", 1200) == home);
+}
