Count an answer that does not come in time against its upstream

Change: the classification of an attempt's end moves into attempt_policy, where a timeout is a failure.

--- a/src/fleet/gateway_calls.cpp
+++ b/src/fleet/gateway_calls.cpp
@@ -160,16 +160,7 @@
     if (outcome.connected_in)
         report.connect_ms =
             std::chrono::duration<double, std::milli>(*outcome.connected_in).count();
-    if (item->finished || (end.timed_out && !end.answered))
-        report.result = attempt_result::abandoned;
-    else if (end.unsent)
-        report.result = attempt_result::unreachable;
-    else if (end.answered && end.status == 421)
-        report.result = attempt_result::misdirected;
-    else if (verdict == attempt_verdict::not_run)
-        report.result = attempt_result::shed;
-    else if (verdict == attempt_verdict::may_have_run)
-        report.result = attempt_result::failed;
+    report.result = item->finished ? attempt_result::abandoned : classify(end, verdict);
     board_.report(item->chosen, item->route->name, report, now);
 }
 
--- a/src/routing/attempt_policy.hpp
+++ b/src/routing/attempt_policy.hpp
@@ -33,6 +33,22 @@
     may_have_run
 };
 
+/// What an attempt tells of the upstream.
+enum class attempt_result : std::uint8_t
+{
+    answered,
+    /// The upstream stated that it did not run it.
+    shed,
+    /// Another upstream has the address now.
+    misdirected,
+    /// It ran and failed, broke off, or gave no answer in time.
+    failed,
+    /// No connection came about.
+    unreachable,
+    /// The caller left: that tells nothing.
+    abandoned
+};
+
 /// Thread safe; no preconditions.
 constexpr attempt_verdict judge(attempt_end const& end)
 {
@@ -55,4 +71,20 @@
     return attempt_verdict::relay;
 }
 
+/// Thread safe; no preconditions.
+constexpr attempt_result classify(attempt_end const& end, attempt_verdict verdict)
+{
+    constexpr unsigned misdirected = 421;
+    if (end.unsent)
+        return attempt_result::unreachable;
+    if (!end.answered)
+        return attempt_result::failed;
+    if (end.status == misdirected)
+        return attempt_result::misdirected;
+    if (verdict == attempt_verdict::not_run)
+        return attempt_result::shed;
+    return verdict == attempt_verdict::may_have_run ? attempt_result::failed
+                                                    : attempt_result::answered;
+}
+
 } // namespace guavashed
--- a/src/routing/upstream_board.hpp
+++ b/src/routing/upstream_board.hpp
@@ -4,6 +4,7 @@
 
 #include "fleet/view_messages.hpp"
 #include "instant.hpp"
+#include "routing/attempt_policy.hpp"
 #include "routing/placement.hpp"
 #include "routing/route_config.hpp"
 
@@ -67,21 +68,6 @@
     too_late
 };
 
-enum class attempt_result
-{
-    answered,
-    /// The upstream stated that it did not run it.
-    shed,
-    /// Another upstream has the address now.
-    misdirected,
-    /// It ran and failed, or broke off.
-    failed,
-    /// No connection came about.
-    unreachable,
-    /// The caller left, or the time was up.
-    abandoned
-};
-
 /// How one attempt ended.
 struct attempt_report
 {
--- a/test/correctness/routing/attempt_policy_test.cpp
+++ b/test/correctness/routing/attempt_policy_test.cpp
@@ -59,6 +59,23 @@
     }
 }
 
+TEST_CASE("what an attempt tells of its upstream")
+{
+    auto const told = [](attempt_end const& end) { return classify(end, judge(end)); };
+    attempt_end silent;
+    silent.timed_out = true;
+    CHECK(told(silent) == attempt_result::failed);
+    attempt_end unsent;
+    unsent.unsent = true;
+    CHECK(told(unsent) == attempt_result::unreachable);
+    CHECK(told(answered(200, true)) == attempt_result::answered);
+    CHECK(told(answered(404, true)) == attempt_result::answered);
+    CHECK(told(answered(200, false)) == attempt_result::failed);
+    CHECK(told(answered(500, true)) == attempt_result::failed);
+    CHECK(told(answered(503, false, true)) == attempt_result::shed);
+    CHECK(told(answered(421, false)) == attempt_result::misdirected);
+}
+
 TEST_CASE("second tries of all hosts stay inside the fleet's budget")
 {
     // The users' budget: 0.2 of the requests and 64 more in any ten seconds.
