Do not take an earlier life's commands for pending orders

Cause: a control host numbers the commands that it takes from 1 at each start, and knows a pending order by its own name and that number. After a restart the log is applied again from its start, so an old command settled a new order: it was acknowledged and never applied (false drains, lost configurations). Ruled out: raft (the log is the same on all hosts), the lease of reads. Change: tickets bear the process's life.

--- a/Makefile
+++ b/Makefile
@@ -46,7 +46,7 @@
 	git ls-files '*.hpp' '*.cpp' | xargs clang-format --dry-run --Werror
 
 lint: build
-	git ls-files 'src/*.cpp' 'apps/*.cpp' | xargs -P 8 -n 2 clang-tidy --quiet -p $(BUILD)
+	git ls-files 'src/*.cpp' 'apps/*.cpp' 'platform/*.cpp' | xargs -P 8 -n 2 clang-tidy --quiet -p $(BUILD)
 
 tsan: install
 	@test -f build-tsan/build.ninja || cmake -S . -B build-tsan -G Ninja \
--- a/src/fleet/register_command.hpp
+++ b/src/fleet/register_command.hpp
@@ -6,25 +6,42 @@
 #include "routing/upstream_row.hpp"
 
 #include <cereal/types/string.hpp>
+#include <compare>
 #include <string>
 
 namespace guavashed
 {
 
-/// Names a command, so that the host that took it knows it again when it is applied.
+/// Names a command, so that the process that took it knows it again when it is applied.
 struct command_ticket
 {
     host_name origin;
+    /// The process's life: after a restart the log brings back what earlier lives have taken.
+    incarnation life;
     std::uint64_t number = 0;
 
     auto operator<=>(command_ticket const&) const = default;
     template <class Archive>
     void serialize(Archive& archive)
     {
-        archive(origin, number);
+        archive(origin, life, number);
     }
 };
 
+/// Gives out the tickets of one process's life. Thread safety: none.
+class ticket_source
+{
+public:
+    explicit ticket_source(host_name origin);
+
+    command_ticket next();
+    /// True when this life has given it out.
+    bool gave(command_ticket const& ticket) const;
+
+private:
+    command_ticket last_;
+};
+
 enum class register_command_kind : std::uint8_t
 {
     configure = 0,
--- a/src/fleet/registry_node.cpp
+++ b/src/fleet/registry_node.cpp
@@ -27,7 +27,7 @@
                              std::function<void()> on_failure)
     : settings_(std::move(settings)), protocol_(protocol), on_failure_(std::move(on_failure)),
       self_(settings_.peer_listen.value()), duty_("control"),
-      ticker_(duty_, tick_interval, [this](instant now) { tick(now); })
+      ticker_(duty_, tick_interval, [this](instant now) { tick(now); }), tickets_(self_)
 {
 }
 
--- a/src/fleet/registry_node.hpp
+++ b/src/fleet/registry_node.hpp
@@ -168,7 +168,8 @@
     std::map<std::uint64_t, pending_read> reads_;
     std::map<upstream_name, instant> heard_;
     std::vector<upstream_name> heard_since_flush_;
-    std::uint64_t last_ticket_ = 0;
+    ticket_source tickets_;
+    std::uint64_t last_read_ = 0;
     std::optional<raft_batch> in_storage_;
     bool compacting_ = false;
     bool storage_failed_ = false;
--- a/src/fleet/registry_orders.cpp
+++ b/src/fleet/registry_orders.cpp
@@ -172,7 +172,7 @@
 void registry_node::submit(register_command command, std::string subject,
                            std::shared_ptr<http_exchange> exchange)
 {
-    command.ticket = {self_, ++last_ticket_};
+    command.ticket = tickets_.next();
     pending_order order;
     order.exchange = std::move(exchange);
     order.command = encode(command);
@@ -180,7 +180,7 @@
     order.subject = std::move(subject);
     order.until = instant::clock::now() + answer_limit;
     std::string const bytes = order.command;
-    pending_.emplace(last_ticket_, std::move(order));
+    pending_.emplace(command.ticket.number, std::move(order));
     propose(bytes);
 }
 
@@ -212,7 +212,7 @@
 
 void registry_node::settle(register_command const& command, register_outcome outcome)
 {
-    bool const own = command.ticket.origin == self_;
+    bool const own = tickets_.gave(command.ticket);
     auto const waiting = own ? pending_.find(command.ticket.number) : pending_.end();
     std::string const subject = waiting == pending_.end() ? "" : " " + waiting->second.subject;
     log_change(log_level::info, "applied",
@@ -269,7 +269,7 @@
         return exchange->respond(json_response(200, register_.document()));
     auto const link = links_.find(raft_->leader());
     config_read request;
-    request.number = ++last_ticket_;
+    request.number = ++last_read_;
     bool const passed =
         link != links_.end() && link->second->send(frame_type::config_read, encode(request));
     if (!passed)
@@ -334,7 +334,7 @@
             continue;
         register_command command;
         command.kind = register_command_kind::forget;
-        command.ticket = {self_, ++last_ticket_};
+        command.ticket = tickets_.next();
         command.upstream = held.row;
         log_change(log_level::warning, "upstream_silent", "upstream=" + id.value());
         propose(encode(command));
--- a/src/routing/upstream_board.cpp
+++ b/src/routing/upstream_board.cpp
@@ -178,6 +178,7 @@
             !evacuated_.contains(state.row.domain))
             slots[state.region] += state.row.slots;
     std::vector<region_capacity> capacities;
+    capacities.reserve(slots.size());
     for (auto const& [region, count] : slots)
         capacities.push_back({region, count});
     return shares_[service] = spread_over_regions(settings_.region, capacities, regions.size());
--- a/test/correctness/registry/fleet_register_test.cpp
+++ b/test/correctness/registry/fleet_register_test.cpp
@@ -213,3 +213,18 @@
                  RC_ASSERT(whole.state.save() == restarted.state.save());
              });
 }
+
+TEST_CASE("a process does not take an earlier life's command for its own")
+{
+    // After a restart the log brings back the first commands of the host, with the first numbers.
+    host_name const host("127.0.0.1:7720");
+    ticket_source earlier(host);
+    ticket_source later(host);
+    command_ticket const first = earlier.next();
+    command_ticket const pending = later.next();
+    CHECK(first != pending);
+    CHECK(earlier.gave(first));
+    CHECK_FALSE(later.gave(first));
+    CHECK(later.gave(pending));
+    CHECK_FALSE(later.gave({host_name("127.0.0.2:7720"), pending.life, pending.number}));
+}
