--- a/src/control_node.cpp
+++ b/src/control_node.cpp
@@ -17,7 +17,6 @@
 constexpr milliseconds join_interval{200};
 constexpr milliseconds presence_interval{500};
 constexpr milliseconds housekeeping_interval{200};
-constexpr std::uint64_t entries_between_snapshots = 500;
 constexpr std::size_t max_acceptances = 256;
 
 std::string claims_path(daemon_settings const& settings)
@@ -51,10 +50,6 @@
     claim_book book(born_);
     BOOST_OUTCOME_TRY(auto claims, open_claims(claims_path(settings_), book));
     BOOST_OUTCOME_TRY(state_.load(opened.restored.snapshot.state));
-    applied_ = opened.restored.snapshot.index;
-    applied_term_ = opened.restored.snapshot.term;
-    applied_membership_ = opened.restored.snapshot.membership;
-    compacted_ = applied_;
 
     storage_ = std::make_unique<storage_duty>(
         duty_, std::move(opened.store), std::move(claims), claims_path(settings_),
@@ -65,7 +60,8 @@
     rules.self = settings_.name;
     rules.disk = disk_;
     rules.seed = disk_.value();
-    raft_ = std::make_unique<raft>(rules, std::move(opened.restored), instant::clock::now());
+    replica_ = std::make_unique<replica_driver>(rules, std::move(opened.restored), owner());
+    raft_ = &replica_->core();
 
     frame_identity const identity{settings_.name.value(), settings_.cluster_key};
     server_ = std::make_unique<frame_server>(duty_, *this, identity);
@@ -93,7 +89,7 @@
 void control_node::tick(instant now)
 {
     raft_->tick(now);
-    drive_raft(now);
+    replica_->drive();
     recorder_->tick(std::chrono::system_clock::now());
     if (now >= next_join_)
     {
@@ -116,9 +112,9 @@
             mend_membership(now);
             seat_hosts(now);
             step_shifts(now);
-            drive_raft(now);
+            replica_->drive();
         }
-        compact_when_due();
+        replica_->compact_when_due();
     }
     watch_in_force(now);
     for (auto& [session, entry] : entries_)
@@ -137,103 +133,60 @@
                   });
 }
 
-void control_node::drive_raft(instant now)
+void control_node::note_leader(instant now)
 {
-    if (raft_->role() != last_role_ || raft_->leader() != last_leader_)
-    {
-        last_role_ = raft_->role();
-        last_leader_ = raft_->leader();
-        if (raft_->is_leader())
-        {
-            led_since_ = now;
-            shifts_.reset();
-        }
-        if (last_leader_ != host_name())
-        {
-            ++counters_.leaders_seen;
-            log_change(log_level::info, "leader",
-                       "leader=" + last_leader_.value() +
-                           " term=" + std::to_string(raft_->term().value()) +
-                           " role=" + to_string(last_role_));
-        }
-    }
-    while (!in_storage_ && !compacting_ && !storage_failed_)
+    if (raft_->role() == last_role_ && raft_->leader() == last_leader_)
+        return;
+    last_role_ = raft_->role();
+    last_leader_ = raft_->leader();
+    if (raft_->is_leader())
     {
-        raft_batch batch = raft_->take_batch();
-        if (batch.empty())
-            return;
-        if (!batch.needs_sync())
-        {
-            release(std::move(batch));
-            continue;
-        }
-        in_storage_ = batch;
-        if (!storage_->submit(persist_log{std::move(batch)}))
-            GUAVASHED_INVARIANT(false) << "the storage ring is full with one job in flight";
+        led_since_ = now;
+        shifts_.reset();
     }
+    if (last_leader_ == host_name())
+        return;
+    ++counters_.leaders_seen;
+    log_change(log_level::info, "leader",
+               "leader=" + last_leader_.value() + " term=" + std::to_string(raft_->term().value()) +
+                   " role=" + to_string(last_role_));
+}
+
+replica_owner control_node::owner()
+{
+    replica_owner out;
+    out.install = [this](raft_snapshot const& snapshot) { install(snapshot); };
+    out.apply = [this](raft_entry const& entry) { apply(entry); };
+    out.send = [this](raft_message const& message) { send_raft(message); };
+    out.applied = [this] { push_changed_state(instant::clock::now()); };
+    out.look_at_role = [this] { note_leader(instant::clock::now()); };
+    out.failed = [this](error const&) { ++counters_.storage_failures; };
+    out.save = [this] { return state_.save(); };
+    out.submit = [this](storage_job job) { return storage_->submit(std::move(job)); };
+    return out;
+}
+
+void control_node::install(raft_snapshot const& snapshot)
+{
+    auto const loaded = state_.load(snapshot.state);
+    GUAVASHED_INVARIANT(loaded.has_value()) << to_string(loaded.error());
 }
 
 void control_node::on_storage(storage_done&& done)
 {
-    instant const now = instant::clock::now();
+    auto const* claims = std::get_if<persist_claims>(&done.job);
+    if (claims == nullptr)
+        return replica_->on_storage(std::move(done));
     if (done.failure)
     {
         ++counters_.storage_failures;
         log_change(log_level::error, "storage_failed", to_string(*done.failure));
     }
-    if (auto const* claims = std::get_if<persist_claims>(&done.job))
-        return recorder_->on_stored(std::chrono::system_clock::now(), *claims,
-                                    done.failure.has_value());
-    if (done.failure)
-    {
-        // What this replica has not synced it must never acknowledge: it stays silent from here on.
-        storage_failed_ = true;
-        return;
-    }
-    if (std::holds_alternative<compact_log>(done.job))
-    {
-        compacting_ = false;
-        return drive_raft(now);
-    }
-    raft_batch batch = std::move(*in_storage_);
-    in_storage_.reset();
-    release(std::move(batch));
-    drive_raft(now);
-}
-
-void control_node::release(raft_batch batch)
-{
-    raft_->on_persisted(instant::clock::now());
-    if (batch.install)
-    {
-        auto const loaded = state_.load(batch.install->state);
-        GUAVASHED_INVARIANT(loaded.has_value()) << to_string(loaded.error());
-        applied_ = batch.install->index;
-        applied_term_ = batch.install->term;
-        applied_membership_ = batch.install->membership;
-        compacted_ = applied_;
-    }
-    for (auto const& entry : batch.committed)
-        apply(entry);
-    for (auto const& message : batch.messages)
-        send_raft(message);
-    push_changed_state(instant::clock::now());
+    recorder_->on_stored(std::chrono::system_clock::now(), *claims, done.failure.has_value());
 }
 
 void control_node::apply(raft_entry const& entry)
 {
-    GUAVASHED_INVARIANT(entry.index.value() == applied_.value() + 1)
-        << "entry " << entry.index << " would be applied after " << applied_;
-    applied_ = entry.index;
-    applied_term_ = entry.term;
-    if (entry.kind == entry_kind::membership)
-    {
-        if (auto decoded = decode<raft_membership>(entry.payload, "log"))
-            applied_membership_ = std::move(decoded).value();
-        return;
-    }
-    if (entry.kind != entry_kind::command)
-        return;
     auto const command = decode<control_command>(entry.payload, "log");
     GUAVASHED_INVARIANT(command.has_value()) << to_string(command.error());
     config_version const before = state_.version();
@@ -260,20 +213,6 @@
                   });
 }
 
-void control_node::compact_when_due()
-{
-    if (in_storage_ || compacting_ || storage_failed_ ||
-        applied_.value() < compacted_.value() + entries_between_snapshots)
-        return;
-    raft_snapshot snapshot{applied_, applied_term_, applied_membership_, state_.save()};
-    compact_log job{snapshot, raft_->persisted_after(applied_)};
-    compacting_ = storage_->submit(std::move(job));
-    if (!compacting_)
-        return;
-    raft_->on_snapshot(std::move(snapshot));
-    compacted_ = applied_;
-}
-
 void control_node::send_raft(raft_message const& message)
 {
     auto const peer = peers_.find(message.to);
@@ -312,7 +251,7 @@
 
 void control_node::step_shifts(instant now)
 {
-    if (raft_->last_index() != applied_)
+    if (raft_->last_index() != replica_->applied())
         return;
     for (auto const& shift : state_.fleet().config.shifts)
     {
@@ -344,7 +283,7 @@
         if (auto message = decode<raft_message>(item.payload, session->peer()))
         {
             raft_->step(instant::clock::now(), message.value());
-            return drive_raft(instant::clock::now());
+            return replica_->drive();
         }
         break;
     case frame_type::join:
@@ -393,7 +332,7 @@
                               bool const leads = raft_->is_leader();
                               if (leads)
                                   raft_->hand_over(now);
-                              drive_raft(now);
+                              replica_->drive();
                               led.set_value(leads);
                           });
         done = !led.get_future().get();
--- a/src/control_node.hpp
+++ b/src/control_node.hpp
@@ -7,11 +7,10 @@
 #include "frame_link.hpp"
 #include "operator_port.hpp"
 #include "presence_table.hpp"
-#include "raft.hpp"
 #include "recorder.hpp"
+#include "replica_driver.hpp"
 #include "settings.hpp"
 #include "shift_controller.hpp"
-#include "storage_duty.hpp"
 #include "ticker.hpp"
 
 #include <map>
@@ -81,10 +80,10 @@
     };
 
     void tick(instant now);
-    void drive_raft(instant now);
-    void release(raft_batch batch);
+    void note_leader(instant now);
+    void install(raft_snapshot const& snapshot);
     void apply(raft_entry const& entry);
-    void compact_when_due();
+    replica_owner owner();
     void on_storage(storage_done&& done);
     void send_raft(raft_message const& message);
     void send_join();
@@ -121,7 +120,9 @@
     ticker ticker_;
     std::unique_ptr<frame_server> server_;
     std::unique_ptr<storage_duty> storage_;
-    std::unique_ptr<raft> raft_;
+    std::unique_ptr<replica_driver> replica_;
+    /// The core of `replica_`.
+    raft* raft_ = nullptr;
     std::unique_ptr<recorder> recorder_;
     ring<operator_request> operator_ring_;
     control_state state_;
@@ -132,13 +133,6 @@
     std::map<host_name, peer_state> peers_;
     std::map<frame_session*, entry_session> entries_;
     std::vector<waiting_confirm> confirms_;
-    std::optional<raft_batch> in_storage_;
-    bool compacting_ = false;
-    bool storage_failed_ = false;
-    log_index applied_;
-    log_term applied_term_;
-    raft_membership applied_membership_;
-    log_index compacted_;
     raft_role_state last_role_ = raft_role_state::follower;
     host_name last_leader_;
     config_version pushed_;
--- a/src/control_operator.cpp
+++ b/src/control_operator.cpp
@@ -113,8 +113,9 @@
     std::string_view const path = path_of(item.request.target);
     bool const reads = item.request.method == "GET";
     if (reads && path == "/healthz")
-        return item.exchange->respond(json_response(
-            storage_failed_ ? 503 : 200, storage_failed_ ? "{\"storage\":\"failed\"}" : "{}"));
+        return item.exchange->respond(
+            json_response(replica_->has_failed() ? 503 : 200,
+                          replica_->has_failed() ? "{\"storage\":\"failed\"}" : "{}"));
     if (reads && path == "/metrics")
         return item.exchange->respond(metrics());
     if (reads && path == "/v1/status")
@@ -222,7 +223,7 @@
     if (!propose(command))
         return item.exchange->respond(not_leader());
     confirms_.push_back({fields.operation, item.exchange, now + confirm_limit});
-    drive_raft(now);
+    replica_->drive();
 }
 
 http_response control_node::status(instant now) const
--- a/src/control_presence.cpp
+++ b/src/control_presence.cpp
@@ -21,7 +21,7 @@
 
 void control_node::seat_hosts(instant now)
 {
-    if (raft_->last_index() != applied_)
+    if (raft_->last_index() != replica_->applied())
         return;
     std::vector<seat> seats = state_.fleet().seats;
     for (auto const& row : presence_.rows())
--- a/src/fleet/registry_group.cpp
+++ b/src/fleet/registry_group.cpp
@@ -61,7 +61,7 @@
     log_change(log_level::info, "group_founded",
                "members=" + std::to_string(decoded.value().membership.members.size()));
     raft_->found(std::move(decoded).value());
-    drive_raft(instant::clock::now());
+    replica_->drive();
 }
 
 void registry_node::found_when_possible()
--- a/src/fleet/registry_node.cpp
+++ b/src/fleet/registry_node.cpp
@@ -19,7 +19,6 @@
 constexpr milliseconds group_heartbeat{100};
 constexpr milliseconds group_election{600};
 constexpr milliseconds watch_interval{200};
-constexpr std::uint64_t entries_between_snapshots = 500;
 
 } // namespace
 
@@ -45,23 +44,20 @@
     disk_ = opened.disk;
     raft_snapshot const& snapshot = opened.restored.snapshot;
     BOOST_OUTCOME_TRY(register_.load(snapshot.state));
-    applied_ = snapshot.index;
-    applied_term_ = snapshot.term;
-    applied_membership_ = snapshot.membership;
-    compacted_ = applied_;
     if (snapshot.index == log_index(1))
         founding_ = encode(snapshot);
 
     storage_ = std::make_unique<storage_duty>(duty_, std::move(opened.store), record_file(), "",
                                               [this](storage_done&& done)
-                                              { on_storage(std::move(done)); });
+                                              { replica_->on_storage(std::move(done)); });
     raft_settings rules;
     rules.self = self_;
     rules.disk = disk_;
     rules.heartbeat = group_heartbeat;
     rules.election = group_election;
     rules.seed = disk_.value();
-    raft_ = std::make_unique<raft>(rules, std::move(opened.restored), instant::clock::now());
+    replica_ = std::make_unique<replica_driver>(rules, std::move(opened.restored), owner());
+    raft_ = &replica_->core();
 
     port_ = std::make_unique<port>(duty_, [this](http_request&& request, auto exchange)
                                    { on_http(std::move(request), std::move(exchange)); });
@@ -88,9 +84,9 @@
                       });
     log_change(log_level::info, "control_started",
                std::string("disk=") + (opened.fresh ? "fresh" : "known") +
-                   " applied=" + std::to_string(applied_.value()) +
+                   " applied=" + std::to_string(replica_->applied().value()) +
                    " version=" + std::to_string(register_.version().value()) +
-                   " members=" + std::to_string(applied_membership_.members.size()));
+                   " members=" + std::to_string(raft_->membership().members.size()));
     return boost::outcome_v2::success();
 }
 
@@ -117,7 +113,7 @@
 void registry_node::tick(instant now)
 {
     raft_->tick(now);
-    drive_raft(now);
+    replica_->drive();
     if (now >= next_greeting_)
         greet(now);
     if (now >= next_flush_)
@@ -129,9 +125,9 @@
         {
             mend_group(now);
             watch_upstreams(now);
-            drive_raft(now);
+            replica_->drive();
         }
-        compact_when_due();
+        replica_->compact_when_due();
     }
     expire_pending(now);
     push_changes(now);
@@ -160,84 +156,31 @@
         send_proposal(order.command);
 }
 
-void registry_node::drive_raft(instant now)
+replica_owner registry_node::owner()
 {
-    note_leader(now);
-    while (!in_storage_ && !compacting_ && !storage_failed_)
-    {
-        raft_batch batch = raft_->take_batch();
-        if (batch.empty())
-            return;
-        if (!batch.needs_sync())
-        {
-            release(std::move(batch));
-            continue;
-        }
-        in_storage_ = batch;
-        bool const queued = storage_->submit(persist_log{std::move(batch)});
-        GUAVASHED_INVARIANT(queued) << "the storage ring is full with one job in flight";
-    }
+    replica_owner out;
+    out.install = [this](raft_snapshot const& snapshot) { install(snapshot); };
+    out.apply = [this](raft_entry const& entry) { apply(entry); };
+    out.send = [this](raft_message const& message) { send_raft(message); };
+    out.applied = [this] { push_changes(instant::clock::now()); };
+    out.look_at_role = [this] { note_leader(instant::clock::now()); };
+    out.failed = [this](error const&) { on_failure_(); };
+    out.save = [this] { return register_.save(); };
+    out.submit = [this](storage_job job) { return storage_->submit(std::move(job)); };
+    return out;
 }
 
-void registry_node::on_storage(storage_done&& done)
+void registry_node::install(raft_snapshot const& snapshot)
 {
-    if (done.failure)
-    {
-        storage_failed_ = true;
-        log_change(log_level::error, "storage_failed", to_string(*done.failure));
-        return on_failure_();
-    }
-    if (std::holds_alternative<compact_log>(done.job))
-        compacting_ = false;
-    else
-    {
-        raft_batch batch = std::move(*in_storage_);
-        in_storage_.reset();
-        release(std::move(batch));
-    }
-    drive_raft(instant::clock::now());
-}
-
-void registry_node::release(raft_batch batch)
-{
-    raft_->on_persisted(instant::clock::now());
-    if (batch.install)
-    {
-        auto const loaded = register_.load(batch.install->state);
-        GUAVASHED_INVARIANT(loaded.has_value()) << to_string(loaded.error());
-        applied_ = batch.install->index;
-        applied_term_ = batch.install->term;
-        applied_membership_ = batch.install->membership;
-        compacted_ = applied_;
-        log_change(log_level::info, "snapshot_installed",
-                   "index=" + std::to_string(applied_.value()) +
-                       " version=" + std::to_string(register_.version().value()));
-    }
-    for (auto const& message : batch.messages)
-        send_raft(message);
-    for (auto const& entry : batch.committed)
-        apply(entry);
-    if (!batch.committed.empty() || batch.install)
-        push_changes(instant::clock::now());
+    auto const loaded = register_.load(snapshot.state);
+    GUAVASHED_INVARIANT(loaded.has_value()) << to_string(loaded.error());
+    log_change(log_level::info, "snapshot_installed",
+               "index=" + std::to_string(snapshot.index.value()) +
+                   " version=" + std::to_string(register_.version().value()));
 }
 
 void registry_node::apply(raft_entry const& entry)
 {
-    GUAVASHED_INVARIANT(entry.index.value() == applied_.value() + 1)
-        << "entry " << entry.index << " would be applied after " << applied_;
-    applied_ = entry.index;
-    applied_term_ = entry.term;
-    if (entry.kind == entry_kind::membership)
-    {
-        auto decoded = decode<raft_membership>(entry.payload, "log");
-        GUAVASHED_INVARIANT(decoded.has_value()) << to_string(decoded.error());
-        applied_membership_ = std::move(decoded).value();
-        for (auto const& member : applied_membership_.members)
-            link_to(member.host);
-        return;
-    }
-    if (entry.kind != entry_kind::command)
-        return;
     auto const command = decode<register_command>(entry.payload, "log");
     GUAVASHED_INVARIANT(command.has_value()) << to_string(command.error());
     instant const now = instant::clock::now();
@@ -251,20 +194,6 @@
     settle(command.value(), outcome);
 }
 
-void registry_node::compact_when_due()
-{
-    if (in_storage_ || compacting_ || storage_failed_ ||
-        applied_.value() < compacted_.value() + entries_between_snapshots)
-        return;
-    raft_snapshot snapshot{applied_, applied_term_, applied_membership_, register_.save()};
-    compact_log job{snapshot, raft_->persisted_after(applied_)};
-    compacting_ = storage_->submit(std::move(job));
-    if (!compacting_)
-        return;
-    raft_->on_snapshot(std::move(snapshot));
-    compacted_ = applied_;
-}
-
 void registry_node::send_raft(raft_message const& message)
 {
     auto const link = links_.find(message.to);
@@ -297,7 +226,7 @@
         if (auto message = decode<raft_message>(item.payload, session->peer()))
         {
             raft_->step(now, message.value());
-            return drive_raft(now);
+            return replica_->drive();
         }
         break;
     case frame_type::greeting:
@@ -306,7 +235,7 @@
         break;
     case frame_type::proposal:
         if (raft_->propose(std::move(item.payload)))
-            drive_raft(now);
+            replica_->drive();
         return;
     case frame_type::config_read:
         if (auto message = decode<config_read>(item.payload, session->peer()))
@@ -347,7 +276,7 @@
                               bool const leads = raft_->is_leader();
                               if (leads)
                                   raft_->hand_over(now);
-                              drive_raft(now);
+                              replica_->drive();
                               led.set_value(leads || !pending_.empty());
                           });
         done = !led.get_future().get();
--- a/src/fleet/registry_node.hpp
+++ b/src/fleet/registry_node.hpp
@@ -8,7 +8,7 @@
 #include "fleet/view_messages.hpp"
 #include "frame_link.hpp"
 #include "http_server.hpp"
-#include "storage_duty.hpp"
+#include "replica_driver.hpp"
 #include "ticker.hpp"
 
 #include <functional>
@@ -105,12 +105,10 @@
     };
 
     void tick(instant now);
-    void drive_raft(instant now);
     void note_leader(instant now);
-    void release(raft_batch batch);
+    void install(raft_snapshot const& snapshot);
     void apply(raft_entry const& entry);
-    void compact_when_due();
-    void on_storage(storage_done&& done);
+    replica_owner owner();
     void send_raft(raft_message const& message);
     void link_to(host_name const& host);
 
@@ -154,7 +152,9 @@
     std::unique_ptr<port> port_;
     std::unique_ptr<frame_server> server_;
     std::unique_ptr<storage_duty> storage_;
-    std::unique_ptr<raft> raft_;
+    std::unique_ptr<replica_driver> replica_;
+    /// The core of `replica_`.
+    raft* raft_ = nullptr;
     fleet_register register_;
     group_mender mender_;
     disk_id disk_;
@@ -170,14 +170,7 @@
     std::vector<upstream_name> heard_since_flush_;
     ticket_source tickets_;
     std::uint64_t last_read_ = 0;
-    std::optional<raft_batch> in_storage_;
-    bool compacting_ = false;
-    bool storage_failed_ = false;
     bool leaving_ = false;
-    log_index applied_;
-    log_term applied_term_;
-    raft_membership applied_membership_;
-    log_index compacted_;
     raft_role_state last_role_ = raft_role_state::follower;
     host_name last_leader_;
     instant last_change_;
--- a/src/fleet/registry_orders.cpp
+++ b/src/fleet/registry_orders.cpp
@@ -188,7 +188,7 @@
 {
     send_proposal(command);
     if (raft_->is_leader())
-        drive_raft(instant::clock::now());
+        replica_->drive();
 }
 
 void registry_node::send_proposal(std::string const& command)
@@ -216,9 +216,9 @@
     auto const waiting = own ? pending_.find(command.ticket.number) : pending_.end();
     std::string const subject = waiting == pending_.end() ? "" : " " + waiting->second.subject;
     log_change(log_level::info, "applied",
-               "index=" + std::to_string(applied_.value()) +
-                   " kind=" + text_of(command.kind) +
-                   " origin=" + command.ticket.origin.value() + " outcome=" + text_of(outcome) +
+               "index=" + std::to_string(replica_->applied().value()) +
+                   " kind=" + text_of(command.kind) + " origin=" + command.ticket.origin.value() +
+                   " outcome=" + text_of(outcome) +
                    " version=" + std::to_string(register_.version().value()) + subject);
     if (waiting == pending_.end())
         return;
@@ -258,8 +258,8 @@
 
 bool registry_node::may_answer_reads(instant now) const
 {
-    return raft_->lease_holds(now) && raft_->caught_up() && applied_ == raft_->commit_index() &&
-           !register_.document().empty();
+    return raft_->lease_holds(now) && raft_->caught_up() &&
+           replica_->applied() == raft_->commit_index() && !register_.document().empty();
 }
 
 void registry_node::on_read(std::shared_ptr<http_exchange> exchange)
@@ -375,7 +375,7 @@
     line("leaders_seen_total", counters_.leaders_seen);
     line("bad_frames_total", counters_.bad_frames);
     line("leads", raft_->is_leader() ? 1 : 0);
-    line("applied_index", applied_.value());
+    line("applied_index", replica_->applied().value());
     line("config_version", register_.version().value());
     line("upstreams", register_.upstreams().size());
     line("entry_sessions", entries_.size());
--- /dev/null
+++ b/src/replica_driver.cpp
@@ -0,0 +1,114 @@
+#include "replica_driver.hpp"
+
+#include "codec.hpp"
+#include "invariant.hpp"
+#include "log.hpp"
+
+namespace guavashed
+{
+namespace
+{
+
+/// A restart reads back no more entries than this.
+constexpr std::uint64_t entries_between_snapshots = 500;
+
+} // namespace
+
+replica_driver::replica_driver(raft_settings settings, raft_restored restored, replica_owner owner)
+    : owner_(std::move(owner)), applied_(restored.snapshot.index),
+      applied_term_(restored.snapshot.term), applied_membership_(restored.snapshot.membership),
+      compacted_(applied_), raft_(std::move(settings), std::move(restored), instant::clock::now())
+{
+}
+
+void replica_driver::drive()
+{
+    owner_.look_at_role();
+    while (!in_storage_ && !compacting_ && !failed_)
+    {
+        raft_batch batch = raft_.take_batch();
+        if (batch.empty())
+            return;
+        if (!batch.needs_sync())
+        {
+            release(std::move(batch));
+            continue;
+        }
+        in_storage_ = batch;
+        bool const queued = owner_.submit(persist_log{std::move(batch)});
+        GUAVASHED_INVARIANT(queued) << "the storage ring is full with one job in flight";
+    }
+}
+
+void replica_driver::on_storage(storage_done&& done)
+{
+    if (done.failure)
+    {
+        // What this replica has not synced it must never acknowledge: it stays silent from here on.
+        failed_ = true;
+        log_change(log_level::error, "storage_failed", to_string(*done.failure));
+        return owner_.failed(*done.failure);
+    }
+    if (std::holds_alternative<compact_log>(done.job))
+        compacting_ = false;
+    else
+    {
+        raft_batch batch = std::move(*in_storage_);
+        in_storage_.reset();
+        release(std::move(batch));
+    }
+    drive();
+}
+
+void replica_driver::release(raft_batch batch)
+{
+    raft_.on_persisted(instant::clock::now());
+    if (batch.install)
+        install(*batch.install);
+    for (auto const& message : batch.messages)
+        owner_.send(message);
+    for (auto const& entry : batch.committed)
+        apply(entry);
+    if (batch.install || !batch.committed.empty())
+        owner_.applied();
+}
+
+void replica_driver::install(raft_snapshot const& snapshot)
+{
+    applied_ = snapshot.index;
+    applied_term_ = snapshot.term;
+    applied_membership_ = snapshot.membership;
+    compacted_ = applied_;
+    owner_.install(snapshot);
+}
+
+void replica_driver::apply(raft_entry const& entry)
+{
+    GUAVASHED_INVARIANT(entry.index.value() == applied_.value() + 1)
+        << "entry " << entry.index << " would be applied after " << applied_;
+    applied_ = entry.index;
+    applied_term_ = entry.term;
+    if (entry.kind == entry_kind::membership)
+    {
+        auto decoded = decode<raft_membership>(entry.payload, "log");
+        GUAVASHED_INVARIANT(decoded.has_value()) << to_string(decoded.error());
+        applied_membership_ = std::move(decoded).value();
+    }
+    if (entry.kind == entry_kind::command)
+        owner_.apply(entry);
+}
+
+void replica_driver::compact_when_due()
+{
+    if (in_storage_ || compacting_ || failed_ ||
+        applied_.value() < compacted_.value() + entries_between_snapshots)
+        return;
+    raft_snapshot snapshot{applied_, applied_term_, applied_membership_, owner_.save()};
+    compacting_ = owner_.submit(compact_log{snapshot, raft_.persisted_after(applied_)});
+    if (!compacting_)
+        return;
+    raft_.on_snapshot(std::move(snapshot));
+    compacted_ = applied_;
+}
+
+} // namespace guavashed
