Let an entry host that stood still send nothing until it has learned what changed

Cause: an entry host that was frozen for seconds answered what waited in its sockets from its old view, and sent work to upstreams whose drains had been acknowledged meanwhile. The platform's rule leaves out hosts that are out of touch; the product's promise to a leaving upstream does not. Test: platform_test 'an entry host that was frozen', failed before.

--- a/src/fleet/gateway_node.cpp
+++ b/src/fleet/gateway_node.cpp
@@ -16,6 +16,10 @@
 
 constexpr milliseconds tick_interval{100};
 constexpr milliseconds report_interval{500};
+/// A process that has not run for so long may have missed what was acknowledged meanwhile.
+constexpr milliseconds longest_pause{1000};
+/// Sessions are opened again within this, where control hosts can be reached at all.
+constexpr milliseconds relearn_limit{1500};
 /// A whole view takes a few hundred milliseconds on the thinnest links.
 constexpr milliseconds pull_patience{1500};
 /// After the notice of a stop, callers are still served for so long: they keep the answers of
@@ -85,8 +89,21 @@
     links_[control] = std::move(link);
 }
 
+bool gateway_node::is_unsure(instant now)
+{
+    if (now > last_tick_ + longest_pause)
+    {
+        log_change(log_level::warning, "stood_still",
+                   "for_ms=" + std::to_string(remaining_ms(now, last_tick_)));
+        unsure_until_ = now + relearn_limit;
+    }
+    last_tick_ = std::max(last_tick_, now);
+    return now < unsure_until_;
+}
+
 void gateway_node::tick(instant now)
 {
+    is_unsure(now);
     if (now < next_report_)
         return;
     report_to_all();
--- a/src/fleet/gateway_node.hpp
+++ b/src/fleet/gateway_node.hpp
@@ -103,6 +103,8 @@
     void report_to(frame_client& link);
     void report_to_all();
     void choose_puller(instant now);
+    /// True while what this host believes of upstreams may be as old as a pause of the process.
+    bool is_unsure(instant now);
     void on_changes(fleet_changes changes, std::string const& peer);
     void adopt_config(routing_config config);
     void adopt_controls(std::vector<endpoint_text> const& controls);
@@ -145,6 +147,10 @@
     bool leaving_ = false;
     instant refuse_from_ = instant::max();
     instant next_report_;
+    /// When the last tick ran; a long gap means that the process stood still.
+    instant last_tick_ = instant::clock::now();
+    /// Until then it sends nothing: sessions with control hosts are opened again meanwhile.
+    instant unsure_until_;
     /// Upper bounds in ms of the histogram of answers' latencies.
     static constexpr std::array<std::uint32_t, 10> bucket_ms{5,   10,  25,   50,   100,
                                                              250, 500, 1000, 2500, 5000};
--- a/test/correctness/fleet/platform_test.cpp
+++ b/test/correctness/fleet/platform_test.cpp
@@ -219,3 +219,26 @@
     CHECK(report.breaches.empty());
     CHECK(report.counts.served > report.counts.calls / 2);
 }
+
+SCENARIO("an entry host that was frozen does not act on what it knew")
+{
+    platform_fleet_options options = options_of("frozen", 23200);
+    options.entries = 1;
+    platform_fleet fleet(options);
+    REQUIRE(fleet.start());
+    standin::platform_caller caller(caller_of(fleet));
+    caller.start();
+    pause_ms(800);
+    fleet.processes().signal(fleet.entry_name(0), SIGSTOP);
+    pause_ms(200);
+    for (unsigned i = 0; i < 4; ++i)
+        fleet.upstream(i).drain();
+    pause_ms(3200);
+    for (unsigned i = 0; i < 4; ++i)
+        REQUIRE(fleet.upstream(i).record().drain_acknowledged);
+    fleet.processes().signal(fleet.entry_name(0), SIGCONT);
+    pause_ms(2500);
+    auto const report = finish(fleet, caller);
+    CHECK(report.breaches.empty());
+    CHECK(report.counts.served > report.counts.calls / 4);
+}
