Reset the connections of calls that are given up

Cause: a close leaves the request's bytes with the sender's system; held up by a cut link, they reached an upstream 8 s later, after its failure domain's evacuation had been acknowledged (EVAC). Ruled out: the view (current), retries (one arrival). Change: connections to upstreams are reset, not closed. Test: given_up_call_test, failed before.

--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -180,6 +180,9 @@
             return finish_failed(send_stage::unsent, step_error("connect", code));
         beast::error_code ignored;
         connection_->stream.socket().set_option(tcp::no_delay(true), ignored);
+        // A given-up call resets its connection: what a cut link holds up of it must not arrive
+        // once the link is back. Answered calls leave nothing behind that a reset could take.
+        connection_->stream.socket().set_option(asio::socket_base::linger(true, 0), ignored);
         write();
     }
 
