Keep an upstream's birth when it says twice that it leaves

Cause: the second leave of an upstream, sent to another control host for want of an answer, replaced the noted departure by one without a birth. Entry hosts took it for that of an earlier life and kept the upstream, and its next announcement registered it anew (DRAIN). Ruled out: pushes (each entry host's view was current), tickets, the lease. Change: a departure keeps the latest birth. Test: fleet_register_test, failed before.

--- a/src/fleet/fleet_register.cpp
+++ b/src/fleet/fleet_register.cpp
@@ -152,7 +152,11 @@
     }
     else if (may_return)
         return;
-    departures_[id] = {born_ms, index, may_return};
+    // A resend comes without the birth that the first leave has noted.
+    departure& gone = departures_[id];
+    gone.born_ms = std::max(gone.born_ms, born_ms);
+    gone.changed = index;
+    gone.may_return = may_return;
     changed_ = index;
     trim();
 }
--- a/test/correctness/registry/fleet_register_test.cpp
+++ b/test/correctness/registry/fleet_register_test.cpp
@@ -108,6 +108,15 @@
         CHECK(held.state.upstreams().empty());
         CHECK(held.state.reflects(roster_upstream("u1"), 0, at_ms(0)));
     }
+    SECTION("one that says twice that it leaves stays gone too")
+    {
+        // The second goes to another control host, for want of an answer from the first.
+        held.apply(leave("u1"));
+        held.apply(leave("u1"));
+        CHECK(held.state.departures().at(upstream_name("u1")).born_ms == 1000);
+        held.apply(announce(roster_upstream("u1"), 9));
+        CHECK(held.state.upstreams().empty());
+    }
     SECTION("a new life under the same id counts anew")
     {
         held.apply(leave("u1"));
--- a/test/error/given_up_call_test.cpp
+++ b/test/error/given_up_call_test.cpp
@@ -21,17 +21,17 @@
 
     std::promise<http_outcome> done;
     std::promise<http_call_id> started;
-    boost::asio::post(client_duty.context(),
-                      [&]
-                      {
-                          http_call call;
-                          call.endpoint = endpoint_text(
-                              "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port()));
-                          call.deadline = instant::clock::now() + milliseconds(300);
-                          started.set_value(client.start(
-                              std::move(call),
-                              [&done](http_outcome outcome) { done.set_value(std::move(outcome)); }));
-                      });
+    boost::asio::post(
+        client_duty.context(),
+        [&]
+        {
+            http_call call;
+            call.endpoint =
+                endpoint_text("127.0.0.1:" + std::to_string(acceptor.local_endpoint().port()));
+            call.deadline = instant::clock::now() + milliseconds(300);
+            started.set_value(client.start(std::move(call), [&done](http_outcome outcome)
+                                           { done.set_value(std::move(outcome)); }));
+        });
     tcp::socket upstream = acceptor.accept();
     boost::asio::streambuf request;
     boost::asio::read_until(upstream, request, "\r\n\r\n");
