--- a/src/fleet/gateway_calls.cpp
+++ b/src/fleet/gateway_calls.cpp
@@ -71,7 +71,7 @@
 void gateway_node::attempt(call_ptr const& item)
 {
     instant const now = instant::clock::now();
-    if (is_unsure(now))
+    if (notice_pause(now))
         return give_up(
             item, item->may_have_run ? attempt_verdict::may_have_run : attempt_verdict::not_run,
             false, "this host stood still and learns what has changed");
--- a/src/fleet/gateway_node.cpp
+++ b/src/fleet/gateway_node.cpp
@@ -25,7 +25,7 @@
 /// After the notice of a stop, callers are still served for so long: they keep the answers of
 /// look-ups for a while. What comes later is refused, so that the work under way can end.
 constexpr milliseconds serve_after_notice{2800};
-/// Control hosts that are not in the newest list are dropped after a push from another one.
+/// Control hosts that may be set aside for the fleet (docs/CAPACITY.md).
 constexpr std::size_t max_controls = 18;
 /// Parts of the fleet's budget that are spent: what hosts have kept may fall into one window with
 /// what they earn in it, and hosts that have just come are not counted yet.
@@ -89,7 +89,7 @@
     links_[control] = std::move(link);
 }
 
-bool gateway_node::is_unsure(instant now)
+bool gateway_node::notice_pause(instant now)
 {
     if (now > last_tick_ + longest_pause)
     {
@@ -103,7 +103,7 @@
 
 void gateway_node::tick(instant now)
 {
-    is_unsure(now);
+    notice_pause(now);
     if (now < next_report_)
         return;
     report_to_all();
--- a/src/fleet/gateway_node.hpp
+++ b/src/fleet/gateway_node.hpp
@@ -103,8 +103,9 @@
     void report_to(frame_client& link);
     void report_to_all();
     void choose_puller(instant now);
-    /// True while what this host believes of upstreams may be as old as a pause of the process.
-    bool is_unsure(instant now);
+    /// Looks whether the process stood still. True while what it believes of upstreams may be as
+    /// old as that pause.
+    bool notice_pause(instant now);
     void on_changes(fleet_changes changes, std::string const& peer);
     void adopt_config(routing_config config);
     void adopt_controls(std::vector<endpoint_text> const& controls);
--- a/src/fleet/registry_entries.cpp
+++ b/src/fleet/registry_entries.cpp
@@ -33,7 +33,6 @@
     bool const ready_before = entry.said.ready;
     entry.session = session;
     entry.said = std::move(message);
-    entry.heard = now;
     if (first || ready_before != entry.said.ready)
     {
         ++entries_epoch_;
--- a/src/fleet/registry_node.hpp
+++ b/src/fleet/registry_node.hpp
@@ -36,7 +36,6 @@
     milliseconds announce_interval{1500};
     /// How long callers may keep an answer to a look-up.
     milliseconds resolve_keep{2000};
-    std::map<failure_domain_name, region_name> regions;
 };
 
 struct registry_counters
@@ -96,7 +95,6 @@
     {
         frame_session_ptr session;
         entry_report said;
-        instant heard;
         std::uint64_t sent_to = 0;
         std::uint64_t sent_entries = 0;
         instant push_due;
--- a/test/fleet/relay.cpp
+++ b/test/fleet/relay.cpp
@@ -17,8 +17,10 @@
 {
 public:
     link(relay& owner, tcp::socket caller)
-        : owner_(owner), caller_(std::move(caller)), target_(caller_.get_executor()),
-          to_target_{this, caller_, target_}, to_caller_{this, target_, caller_}
+        : owner_(owner), caller_(std::move(caller)),
+          target_(caller_.get_executor()), to_target_{this, caller_, target_}, to_caller_{this,
+                                                                                          target_,
+                                                                                          caller_}
     {
     }
 
@@ -65,17 +67,16 @@
 
     void carry(direction& way, bool from_target)
     {
-        way.from.async_read_some(
-            asio::buffer(way.piece),
-            [self = shared_from_this(), &way, from_target](boost::system::error_code code,
-                                                           std::size_t size)
-            {
-                if (self->silent_)
-                    return;
-                if (code)
-                    return self->close(false);
-                self->pass_on(way, from_target, size);
-            });
+        way.from.async_read_some(asio::buffer(way.piece),
+                                 [self = shared_from_this(), &way,
+                                  from_target](boost::system::error_code code, std::size_t size)
+                                 {
+                                     if (self->silent_)
+                                         return;
+                                     if (code)
+                                         return self->close(false);
+                                     self->pass_on(way, from_target, size);
+                                 });
     }
 
     void pass_on(direction& way, bool from_target, std::size_t size)
@@ -87,14 +88,14 @@
         way.timer.async_wait(
             [self = shared_from_this(), &way, from_target, size](boost::system::error_code)
             {
-                asio::async_write(way.to, asio::buffer(way.piece.data(), size),
-                                  [self, &way, from_target](boost::system::error_code code,
-                                                            std::size_t)
-                                  {
-                                      if (code)
-                                          return self->close(false);
-                                      self->carry(way, from_target);
-                                  });
+                asio::async_write(
+                    way.to, asio::buffer(way.piece.data(), size),
+                    [self, &way, from_target](boost::system::error_code code, std::size_t)
+                    {
+                        if (code)
+                            return self->close(false);
+                        self->carry(way, from_target);
+                    });
             });
     }
 
