--- /dev/null
+++ b/test/correctness/registry/group_mender_test.cpp
@@ -0,0 +1,103 @@
+#include "../raft_group.hpp"
+#include "fleet/group_mender.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace guavashed;
+
+namespace
+{
+
+known_control present(host_name const& host, disk_id disk, instant now)
+{
+    known_control out;
+    out.said.host = host;
+    out.said.disk = disk;
+    out.heard = now;
+    return out;
+}
+
+/// All members as they greet, with the disks of the founding.
+std::map<host_name, known_control> greetings(raft_group const& group)
+{
+    std::map<host_name, known_control> out;
+    for (std::size_t i = 0; i < group.size(); ++i)
+        out[raft_group::name(i)] = present(raft_group::name(i), disk_id(100 + i), group.now());
+    return out;
+}
+
+} // namespace
+
+TEST_CASE("the control group mends itself")
+{
+    group_mender const mender;
+    raft_group group(5, 20261204);
+    group.settle(3000);
+    REQUIRE(group.leader());
+    std::size_t const leader = *group.leader();
+    std::size_t const other = (leader + 1) % group.size();
+    auto const step = [&](std::map<host_name, known_control> const& known)
+    { return mender.next_step(group.core(leader), known, group.now()); };
+
+    SECTION("nothing changes while all are there")
+    {
+        CHECK_FALSE(step(greetings(group)));
+    }
+    SECTION("a host with a new disk starts without a vote and gets it with the log")
+    {
+        disk_id const new_disk(1000);
+        group.crash(other);
+        group.start_with_lost_disk(other);
+        std::vector<std::string> reasons;
+        for (int round = 0; round < 20; ++round)
+        {
+            auto known = greetings(group);
+            known[raft_group::name(other)] =
+                present(raft_group::name(other), new_disk, group.now());
+            if (auto const next = step(known))
+            {
+                reasons.push_back(next->reason);
+                REQUIRE(group.core(leader).propose_membership(next->next));
+            }
+            group.settle(200);
+            REQUIRE(group.leader() == leader);
+        }
+        CHECK(reasons == std::vector<std::string>{"has a new disk", "holds the log"});
+        raft_member const* member = group.core(leader).membership().find(raft_group::name(other));
+        REQUIRE(member != nullptr);
+        CHECK(member->voter);
+        CHECK(member->disk == new_disk);
+        CHECK(group.core(leader).membership().voters() == 5);
+    }
+    SECTION("a newcomer waits while five voters are there")
+    {
+        auto known = greetings(group);
+        known[host_name("r9")] = present(host_name("r9"), disk_id(9), group.now());
+        CHECK_FALSE(step(known));
+
+        AND_THEN("it gets the seat of a voter that has been dark for long enough")
+        {
+            group.crash(other);
+            group.settle(2500);
+            REQUIRE(group.leader() == leader);
+            known = greetings(group);
+            known.erase(raft_group::name(other));
+            known[host_name("r9")] = present(host_name("r9"), disk_id(9), group.now());
+            auto const next = step(known);
+            REQUIRE(next);
+            CHECK(next->host == raft_group::name(other));
+            CHECK(next->next.voters() == 4);
+            CHECK(next->next.find(raft_group::name(other)) == nullptr);
+        }
+    }
+    SECTION("a newcomer that was last heard long ago is not taken in")
+    {
+        group.crash(other);
+        group.settle(2500);
+        auto known = greetings(group);
+        known.erase(raft_group::name(other));
+        known[host_name("r9")] =
+            present(host_name("r9"), disk_id(9), group.now() - std::chrono::seconds(5));
+        CHECK_FALSE(step(known));
+    }
+}
