Spread callers over a region's entry hosts where its domains have uneven numbers

Each domain sends as many requests, but a look-up named the hosts of the caller's domain only: 5 in rufisque, 7 in plateau, on links of 3.2 Mbit/s that were choked. Ruled out: placement (the same for all hosts of a region) and upstreams (the same ones). Change: choose_entries names all hosts of a region when one of its domains has under 0.9 of its even share; domains with like numbers go on serving their own callers.

--- a/src/fleet/registry_orders.cpp
+++ b/src/fleet/registry_orders.cpp
@@ -3,6 +3,7 @@
 #include "fleet/registry_node.hpp"
 #include "log.hpp"
 #include "operator_port.hpp"
+#include "routing/entry_choice.hpp"
 
 #include <algorithm>
 
@@ -19,8 +20,7 @@
 /// Missed announcements after which an upstream is taken for dead, and the slack for late ones.
 constexpr int missed_announcements = 4;
 constexpr milliseconds announcement_slack{2000};
-/// Entry hosts in an answer before those of other failure domains are added.
-constexpr std::size_t enough_entries = 2;
+/// Entry hosts that callers read from one answer.
 constexpr std::size_t max_entries = 64;
 
 http_response acknowledged()
@@ -301,19 +301,11 @@
 void registry_node::on_resolve(resolve_order const& order, http_exchange& exchange)
 {
     ++counters_.lookups;
-    std::vector<endpoint_text> chosen;
-    auto const add = [&](auto const& accepts)
-    {
-        for (auto const& [session, entry] : entries_)
-            if (entry.said.ready && chosen.size() < max_entries && accepts(entry.said) &&
-                std::find(chosen.begin(), chosen.end(), entry.said.caller_endpoint) == chosen.end())
-                chosen.push_back(entry.said.caller_endpoint);
-    };
-    add([&](entry_report const& said) { return said.domain == order.domain; });
-    if (chosen.size() < enough_entries)
-        add([&](entry_report const& said) { return said.region == order.region; });
-    if (chosen.empty())
-        add([](entry_report const&) { return true; });
+    std::vector<entry_place> places;
+    for (auto const& [session, entry] : entries_)
+        if (entry.said.ready)
+            places.push_back({entry.said.caller_endpoint, entry.said.region, entry.said.domain});
+    auto const chosen = choose_entries(order.region, order.domain, places, max_entries);
     if (chosen.empty())
     {
         ++counters_.unavailable;
--- /dev/null
+++ b/src/routing/entry_choice.cpp
@@ -0,0 +1,80 @@
+#include "routing/entry_choice.hpp"
+
+#include "routing/placement.hpp"
+
+#include <algorithm>
+#include <map>
+
+namespace guavashed
+{
+namespace
+{
+
+/// One host alone would leave its callers without any while it restarts.
+constexpr std::size_t enough_entries = 2;
+/// A domain that has this part of its even share of the region's hosts serves its own callers.
+constexpr double even_part = 0.9;
+
+using places = std::vector<entry_place const*>;
+
+/// Callers of the region's domains are taken to be equally many.
+bool each_domain_serves_itself(places const& in_region)
+{
+    std::map<failure_domain_name, std::size_t> hosts;
+    for (auto const* place : in_region)
+        ++hosts[place->domain];
+    double const even = static_cast<double>(in_region.size()) /
+                        static_cast<double>(std::max<std::size_t>(1, hosts.size()));
+    return std::all_of(hosts.begin(), hosts.end(),
+                       [even](auto const& item) {
+                           return item.second >= enough_entries &&
+                                  static_cast<double>(item.second) >= even * even_part;
+                       });
+}
+
+std::vector<endpoint_text> endpoints_of(places const& chosen, failure_domain_name const& domain,
+                                        std::size_t limit)
+{
+    std::vector<endpoint_text> out;
+    out.reserve(chosen.size());
+    for (auto const* place : chosen)
+        out.push_back(place->callers);
+    std::sort(out.begin(), out.end());
+    out.erase(std::unique(out.begin(), out.end()), out.end());
+    if (out.size() <= limit)
+        return out;
+    // Each domain gets a part of its own, so that together they use all hosts.
+    std::string const key = domain.value();
+    std::sort(out.begin(), out.end(),
+              [&key](endpoint_text const& left, endpoint_text const& right) {
+                  return entry_hash(host_name(left.value() + key)) <
+                         entry_hash(host_name(right.value() + key));
+              });
+    out.resize(limit);
+    return out;
+}
+
+} // namespace
+
+std::vector<endpoint_text> choose_entries(region_name const& region,
+                                          failure_domain_name const& domain,
+                                          std::vector<entry_place> const& entries,
+                                          std::size_t limit)
+{
+    places all;
+    places in_region;
+    places in_domain;
+    for (auto const& place : entries)
+    {
+        all.push_back(&place);
+        if (place.region == region)
+            in_region.push_back(&place);
+        if (place.domain == domain)
+            in_domain.push_back(&place);
+    }
+    if (!in_domain.empty() && each_domain_serves_itself(in_region))
+        return endpoints_of(in_domain, domain, limit);
+    return endpoints_of(in_region.empty() ? all : in_region, domain, limit);
+}
+
+} // namespace guavashed
