Let each entry host take its view from the nearest control host

Cause: the leader pushed every change to all entry hosts, two thirds of them in other regions, and each entry host reported to every control host twice a second.

--- /dev/null
+++ b/src/fleet/gateway_links.cpp
@@ -0,0 +1,168 @@
+// An entry host's sessions with control hosts: which one brings the view, and what each is told.
+#include "codec.hpp"
+#include "fleet/gateway_node.hpp"
+#include "log.hpp"
+
+#include <algorithm>
+
+namespace guavashed
+{
+namespace
+{
+
+/// Control hosts that are no source learn of a new view within this, before the leader takes the
+/// host for one that its source has left behind.
+constexpr milliseconds report_interval{300};
+/// Reports that say nothing new; sessions are kept alive by pings.
+constexpr milliseconds repeat_interval{2000};
+/// A whole view takes a few hundred milliseconds on the thinnest links.
+constexpr milliseconds view_patience{1500};
+/// A control host that brought what the nearest one did not is kept for so long.
+constexpr std::chrono::seconds keep_bringer{10};
+/// A source is left for one that is nearer by this factor: round trips within a failure domain,
+/// a region and between regions differ by more.
+constexpr int much_nearer = 2;
+/// Control hosts that may be set aside for the fleet (docs/CAPACITY.md).
+constexpr std::size_t max_controls = 18;
+
+} // namespace
+
+void gateway_node::link_to(endpoint_text const& control)
+{
+    if (links_.contains(control) || links_.size() >= max_controls)
+        return;
+    control_link& added = links_[control];
+    added.link = std::make_unique<frame_client>(duty_, *this,
+                                                fleet_identity(settings_.name.value()), control);
+    added.link->start();
+}
+
+void gateway_node::adopt_controls(std::vector<endpoint_text> const& controls)
+{
+    if (controls.empty())
+        return;
+    for (auto const& control : controls)
+        link_to(control);
+    std::erase_if(links_,
+                  [&](auto& item)
+                  {
+                      bool const listed =
+                          std::find(controls.begin(), controls.end(), item.first) != controls.end();
+                      bool const seed = std::find(settings_.seeds.begin(), settings_.seeds.end(),
+                                                  item.first) != settings_.seeds.end();
+                      if (listed || seed)
+                          return false;
+                      item.second.link->stop();
+                      return true;
+                  });
+}
+
+std::size_t gateway_node::open_sessions() const
+{
+    return static_cast<std::size_t>(std::count_if(links_.begin(), links_.end(),
+                                                  [](auto const& item)
+                                                  { return item.second.session != nullptr; }));
+}
+
+void gateway_node::choose_source(instant now)
+{
+    auto const current = links_.find(source_);
+    bool const open = current != links_.end() && current->second.session != nullptr;
+    // One that brings nothing while the view is empty may itself be cut off.
+    bool const stuck = view_index_ == 0 && now >= source_until_;
+    bool const settled = view_index_ == 0 || now < source_until_;
+    if (open && settled && !stuck)
+        return;
+    auto nearest = links_.end();
+    for (auto at = links_.begin(); at != links_.end(); ++at)
+    {
+        if (at->second.session == nullptr || (stuck && at == current))
+            continue;
+        if (nearest == links_.end() ||
+            at->second.link->round_trip() < nearest->second.link->round_trip())
+            nearest = at;
+    }
+    if (nearest == links_.end() || nearest == current)
+        return;
+    bool const nearer = !open || nearest->second.link->round_trip() * much_nearer <
+                                     current->second.link->round_trip();
+    if (stuck || nearer)
+        take_source(nearest->first, now + view_patience, "nearest");
+}
+
+void gateway_node::take_source(endpoint_text const& control, instant until, char const* reason)
+{
+    log_change(log_level::info, "source",
+               "control=" + control.value() + " before=" + source_.value() + " reason=" + reason +
+                   " view=" + std::to_string(view_index_));
+    source_ = control;
+    source_until_ = until;
+}
+
+void gateway_node::note_bringer(frame_session const& session, instant now)
+{
+    for (auto const& [endpoint, control] : links_)
+        if (control.session == &session && endpoint != source_)
+            return take_source(endpoint, now + keep_bringer, "brought_more");
+}
+
+void gateway_node::report_when_due(instant now)
+{
+    for (auto& [endpoint, control] : links_)
+    {
+        if (control.session == nullptr)
+            continue;
+        bool const is_source = endpoint == source_;
+        bool const other_view = control.told_view != view_index_;
+        bool const changed = control.told_ready != is_ready() || control.told_source != is_source;
+        milliseconds const wait = other_view ? report_interval : repeat_interval;
+        if (changed || (is_source && other_view) || now >= control.told_at + wait)
+            report_to(endpoint, control, now);
+    }
+}
+
+void gateway_node::report_to(endpoint_text const& endpoint, control_link& control, instant now)
+{
+    entry_report out;
+    out.host = settings_.name;
+    out.caller_endpoint = settings_.caller_listen;
+    out.region = settings_.region;
+    out.domain = settings_.domain;
+    out.ready = is_ready();
+    out.view_index = view_index_;
+    out.is_source = endpoint == source_;
+    control.told_view = out.view_index;
+    control.told_ready = out.ready;
+    control.told_source = out.is_source;
+    control.told_at = now;
+    control.link->send(frame_type::entry_report, encode(out));
+}
+
+void gateway_node::on_open(frame_session_ptr const& session)
+{
+    instant const now = instant::clock::now();
+    for (auto& [endpoint, control] : links_)
+    {
+        if (!control.link->owns(*session))
+            continue;
+        control.session = session.get();
+        log_change(log_level::info, "control_connected",
+                   "peer=" + session->peer() + " sessions=" + std::to_string(open_sessions()));
+        choose_source(now);
+        report_to(endpoint, control, now);
+    }
+}
+
+void gateway_node::on_close(frame_session_ptr const& session)
+{
+    for (auto& [endpoint, control] : links_)
+        if (control.session == session.get())
+            control.session = nullptr;
+    log_change(log_level::warning, "control_lost",
+               "peer=" + session->peer() + " sessions=" + std::to_string(open_sessions()) +
+                   " view=" + std::to_string(view_index_));
+    choose_source(instant::clock::now());
+    report_when_due(instant::clock::now());
+}
+
+} // namespace guavashed
--- a/src/fleet/gateway_node.cpp
+++ b/src/fleet/gateway_node.cpp
@@ -15,18 +15,13 @@
 {
 
 constexpr milliseconds tick_interval{100};
-constexpr milliseconds report_interval{500};
 /// A process that has not run for so long may have missed what was acknowledged meanwhile.
 constexpr milliseconds longest_pause{1000};
 /// Sessions are opened again within this, where control hosts can be reached at all.
 constexpr milliseconds relearn_limit{1500};
-/// A whole view takes a few hundred milliseconds on the thinnest links.
-constexpr milliseconds pull_patience{1500};
 /// After the notice of a stop, callers are still served for so long: they keep the answers of
 /// look-ups for a while. What comes later is refused, so that the work under way can end.
 constexpr milliseconds serve_after_notice{2800};
-/// Control hosts that may be set aside for the fleet (docs/CAPACITY.md).
-constexpr std::size_t max_controls = 18;
 /// Parts of the fleet's budget that are spent: what hosts have kept may fall into one window with
 /// what they earn in it, and hosts that have just come are not counted yet.
 constexpr double ratio_part = 0.9;
@@ -79,16 +74,6 @@
                       });
 }
 
-void gateway_node::link_to(endpoint_text const& control)
-{
-    if (links_.contains(control) || links_.size() >= max_controls)
-        return;
-    auto link = std::make_unique<frame_client>(duty_, *this, fleet_identity(settings_.name.value()),
-                                               control);
-    link->start();
-    links_[control] = std::move(link);
-}
-
 bool gateway_node::notice_pause(instant now)
 {
     if (now > last_tick_ + longest_pause)
@@ -104,71 +89,15 @@
 void gateway_node::tick(instant now)
 {
     notice_pause(now);
-    if (now < next_report_)
-        return;
-    report_to_all();
-}
-
-void gateway_node::report_to_all()
-{
-    instant const now = instant::clock::now();
-    next_report_ = now + report_interval;
-    choose_puller(now);
-    for (auto& [endpoint, link] : links_)
-        report_to(*link);
-}
-
-void gateway_node::choose_puller(instant now)
-{
-    bool const open = sessions_.contains(puller_);
-    // One that brings nothing while the view is empty may itself be cut off.
-    bool const stuck = view_index_ == 0 && now >= pull_until_;
-    if (open && !stuck)
-        return;
-    auto next = open ? sessions_.upper_bound(puller_) : sessions_.begin();
-    if (next == sessions_.end())
-        next = sessions_.begin();
-    puller_ = next == sessions_.end() ? nullptr : next->first;
-    pull_until_ = now + pull_patience;
-}
-
-void gateway_node::report_to(frame_client& link)
-{
-    entry_report out;
-    out.host = settings_.name;
-    out.caller_endpoint = settings_.caller_listen;
-    out.region = settings_.region;
-    out.domain = settings_.domain;
-    out.ready = is_ready();
-    out.view_index = view_index_;
-    out.pull = puller_ != nullptr && link.owns(*puller_);
-    link.send(frame_type::entry_report, encode(out));
-}
-
-void gateway_node::on_open(frame_session_ptr const& session)
-{
-    sessions_[session.get()] = instant::clock::now();
-    log_change(log_level::info, "control_connected",
-               "peer=" + session->peer() + " sessions=" + std::to_string(sessions_.size()));
-    choose_puller(instant::clock::now());
-    for (auto& [endpoint, link] : links_)
-        if (link->owns(*session))
-            report_to(*link);
-}
-
-void gateway_node::on_close(frame_session_ptr const& session)
-{
-    sessions_.erase(session.get());
-    log_change(log_level::warning, "control_lost",
-               "peer=" + session->peer() + " sessions=" + std::to_string(sessions_.size()) +
-                   " view=" + std::to_string(view_index_));
+    choose_source(now);
+    report_when_due(now);
 }
 
 void gateway_node::on_frame(frame_session_ptr const& session, frame&& item)
 {
     if (item.type == frame_type::fleet_changes)
         if (auto message = decode<fleet_changes>(item.payload, session->peer()))
-            return on_changes(std::move(message).value(), session->peer());
+            return on_changes(std::move(message).value(), *session);
     if (item.type == frame_type::greeting)
         return;
     ++counters_.bad_frames;
@@ -176,13 +105,15 @@
     session->close();
 }
 
-void gateway_node::on_changes(fleet_changes changes, std::string const& peer)
+void gateway_node::on_changes(fleet_changes changes, frame_session const& session)
 {
     // A push that was held up on its way must not take the view back.
     if (changes.to < view_index_ || changes.from > view_index_)
         return;
     bool const was_ready = is_ready();
     bool const newer = changes.to > view_index_;
+    if (newer)
+        note_bringer(session, instant::clock::now());
     board_.apply(changes, instant::clock::now());
     adopt_controls(changes.controls);
     if (changes.config)
@@ -191,14 +122,15 @@
     for (auto const& [service, allowance] : allowances_)
         allowance_of(service);
     if (newer)
-        log_change(log_level::info, "view",
-                   "index=" + std::to_string(view_index_) + " from=" + peer + " version=" +
-                       (table_ ? std::to_string(table_->config().version.value()) : "none") +
-                       " upstreams=" + std::to_string(board_.upstreams()) +
-                       " entries=" + std::to_string(board_.entry_hosts()) +
-                       " evacuated=" + std::to_string(changes.evacuated.size()));
+        log_change(
+            log_level::info, "view",
+            "index=" + std::to_string(view_index_) + " from=" + session.peer() +
+                " version=" + (table_ ? std::to_string(table_->config().version.value()) : "none") +
+                " upstreams=" + std::to_string(board_.upstreams()) +
+                " entries=" + std::to_string(board_.entry_hosts()) +
+                " evacuated=" + std::to_string(changes.evacuated.size()));
     if (newer || was_ready != is_ready())
-        report_to_all();
+        report_when_due(instant::clock::now());
 }
 
 void gateway_node::adopt_config(routing_config config)
@@ -217,26 +149,6 @@
     table_ = std::make_shared<route_table>(std::move(config));
 }
 
-void gateway_node::adopt_controls(std::vector<endpoint_text> const& controls)
-{
-    if (controls.empty())
-        return;
-    for (auto const& control : controls)
-        link_to(control);
-    std::erase_if(links_,
-                  [&](auto& item)
-                  {
-                      bool const listed =
-                          std::find(controls.begin(), controls.end(), item.first) != controls.end();
-                      bool const seed = std::find(settings_.seeds.begin(), settings_.seeds.end(),
-                                                  item.first) != settings_.seeds.end();
-                      if (listed || seed)
-                          return false;
-                      item.second->stop();
-                      return true;
-                  });
-}
-
 retry_allowance& gateway_node::allowance_of(service_name const& service)
 {
     retry_allowance& allowance = allowances_[service];
@@ -255,7 +167,7 @@
                           leaving_ = true;
                           refuse_from_ = instant::clock::now() + serve_after_notice;
                           callers_->drain();
-                          report_to_all();
+                          report_when_due(instant::clock::now());
                           told.set_value();
                       });
     told.get_future().wait();
@@ -296,7 +208,7 @@
     line("connections_opened_total", client_.connections_opened());
     line("bad_frames_total", counters_.bad_frames);
     line("in_flight", in_flight_);
-    line("control_sessions", sessions_.size());
+    line("control_sessions", open_sessions());
     line("view_index", view_index_);
     line("config_version", table_ ? table_->config().version.value() : 0);
     std::uint64_t below = 0;
--- a/src/fleet/gateway_node.hpp
+++ b/src/fleet/gateway_node.hpp
@@ -96,17 +96,35 @@
         bool finished = false;
     };
     using call_ptr = std::shared_ptr<call>;
+    struct control_link
+    {
+        std::unique_ptr<frame_client> link;
+        /// Null while no session is open.
+        frame_session* session = nullptr;
+        /// What was last reported there.
+        std::uint64_t told_view = 0;
+        bool told_ready = false;
+        bool told_source = false;
+        instant told_at;
+    };
     class readiness;
 
     void tick(instant now);
     void link_to(endpoint_text const& control);
-    void report_to(frame_client& link);
-    void report_to_all();
-    void choose_puller(instant now);
+    /// Tells control hosts what has changed here: its source and changes of readiness at once,
+    /// others a little later.
+    void report_when_due(instant now);
+    void report_to(endpoint_text const& endpoint, control_link& control, instant now);
+    /// Keeps to the nearest control host that brings something.
+    void choose_source(instant now);
+    void take_source(endpoint_text const& control, instant until, char const* reason);
+    /// That session brought what the source had not.
+    void note_bringer(frame_session const& session, instant now);
+    std::size_t open_sessions() const;
     /// Looks whether the process stood still. True while what it believes of upstreams may be as
     /// old as that pause.
     bool notice_pause(instant now);
-    void on_changes(fleet_changes changes, std::string const& peer);
+    void on_changes(fleet_changes changes, frame_session const& session);
     void adopt_config(routing_config config);
     void adopt_controls(std::vector<endpoint_text> const& controls);
     bool is_ready() const { return table_ != nullptr && !leaving_; }
@@ -135,19 +153,18 @@
     http_client client_;
     std::unique_ptr<http_server> callers_;
     std::unique_ptr<readiness> readiness_;
-    std::map<endpoint_text, std::unique_ptr<frame_client>> links_;
-    std::map<frame_session*, instant> sessions_;
+    std::map<endpoint_text, control_link> links_;
     upstream_board board_;
     std::shared_ptr<route_table> table_;
     std::uint64_t view_index_ = 0;
-    /// The session that is asked for what the view lacks.
-    frame_session* puller_ = nullptr;
-    instant pull_until_;
+    /// The control host that this one takes its view from; empty while there is none.
+    endpoint_text source_;
+    /// It is kept until then; while the view is empty, another one is tried then.
+    instant source_until_;
     std::map<service_name, retry_allowance> allowances_;
     std::uint64_t in_flight_ = 0;
     bool leaving_ = false;
     instant refuse_from_ = instant::max();
-    instant next_report_;
     /// When the last tick ran; a long gap means that the process stood still.
     instant last_tick_ = instant::clock::now();
     /// Until then it sends nothing: sessions with control hosts are opened again meanwhile.
--- a/src/fleet/registry_entries.cpp
+++ b/src/fleet/registry_entries.cpp
@@ -12,16 +12,9 @@
 namespace
 {
 
-/// Followers push only what the leader's push has not brought by then: a new leader takes as long
-/// to be elected.
-constexpr milliseconds follower_delay{900};
-/// Changes of so long go out together; several may come each second.
-constexpr milliseconds push_interval{200};
-/// Entry hosts come in numbers after a loss of power; the rate at which they warm upstreams bears
-/// an older list.
-constexpr milliseconds entries_interval{2000};
-/// A push that an entry host has not confirmed by then is sent again.
-constexpr milliseconds resend_after{1000};
+/// Entry hosts that lack the same changes get the same bytes within this time; what remains of an
+/// upstream's cold time is that old at most.
+constexpr milliseconds encoded_for{50};
 
 } // namespace
 
@@ -33,9 +26,11 @@
     bool const ready_before = entry.said.ready;
     entry.session = session;
     entry.said = std::move(message);
+    entry.at.view_index = entry.said.view_index;
+    entry.at.source = entry.said.is_source;
     if (first || ready_before != entry.said.ready)
     {
-        ++entries_epoch_;
+        feed_.note_entries();
         log_change(log_level::info, "entry_host",
                    "host=" + entry.said.host.value() + " ready=" + (entry.said.ready ? "1" : "0") +
                        " view=" + std::to_string(entry.said.view_index));
@@ -49,45 +44,42 @@
         push_to(now, entry);
 }
 
-bool registry_node::push_due(instant now, entry_session const& entry) const
+void registry_node::note_changes(instant now)
 {
-    if (raft_->leader() == host_name() || entry.session == nullptr || now < entry.push_due)
-        return false;
-    bool const leads = raft_->is_leader();
-    bool const behind = entry.said.view_index < newest_change();
-    if (entry.said.view_index == 0)
-        return entry.said.pull && now >= entry.resend;
-    if (!behind)
-        return leads && entry.sent_entries != entries_epoch_ && now >= entry.entries_due;
-    bool const sent = entry.sent_to >= newest_change();
-    if (sent && now < entry.resend)
-        return false;
-    return leads || entry.said.pull || now >= last_change_ + follower_delay;
+    feed_.note_change(std::max(register_.changed().value(), feed_.newest()), now);
 }
 
-std::uint64_t registry_node::newest_change() const
+control_part registry_node::part() const
 {
-    return std::max(register_.changed().value(), std::uint64_t{1});
+    if (raft_->leader() == host_name())
+        return control_part::apart;
+    return raft_->is_leader() ? control_part::leader : control_part::follower;
 }
 
 void registry_node::push_to(instant now, entry_session& entry)
 {
-    if (!push_due(now, entry))
+    if (entry.session == nullptr)
         return;
-    bool const with_entries = entry.sent_entries != entries_epoch_ && now >= entry.entries_due;
-    entry.sent_to = newest_change();
-    entry.push_due = now + push_interval;
-    entry.resend = now + resend_after;
-    if (with_entries)
-    {
-        entry.sent_entries = entries_epoch_;
-        entry.entries_due = now + entries_interval;
-    }
-    std::string bytes = encode(changes_since(entry.said.view_index, with_entries, now));
+    feed_step const step = feed_.next(now, part(), entry.at);
+    if (!step.push)
+        return;
+    feed_.sent(now, step, entry.at);
+    std::string const& bytes = changes_for(entry.at.view_index, step.with_entries, now);
     ++counters_.pushes;
     counters_.pushed_bytes += bytes.size();
     // A session whose queue is full closes itself and erases this entry later.
-    entry.session->send(frame_type::fleet_changes, std::move(bytes));
+    entry.session->send(frame_type::fleet_changes, bytes);
+}
+
+std::string const& registry_node::changes_for(std::uint64_t index, bool with_entries, instant now)
+{
+    std::uint64_t const epoch = with_entries ? feed_.entries_epoch() : 0;
+    bool const same = encoded_.from == index && encoded_.to == feed_.newest() &&
+                      encoded_.entries_epoch == epoch && now < encoded_.until;
+    if (!same)
+        encoded_ = {index, feed_.newest(), epoch, now + encoded_for,
+                    encode(changes_since(index, with_entries, now))};
+    return encoded_.bytes;
 }
 
 fleet_changes registry_node::changes_since(std::uint64_t index, bool with_entries,
@@ -95,7 +87,7 @@
 {
     fleet_changes out;
     out.from = index;
-    out.to = newest_change();
+    out.to = feed_.newest();
     out.whole = index == 0;
     if (register_.config_changed().value() > index || out.whole)
         if (register_.version() != config_version())
--- a/src/fleet/registry_node.cpp
+++ b/src/fleet/registry_node.cpp
@@ -44,6 +44,7 @@
     disk_ = opened.disk;
     raft_snapshot const& snapshot = opened.restored.snapshot;
     BOOST_OUTCOME_TRY(register_.load(snapshot.state));
+    note_changes(instant::clock::now());
     if (snapshot.index == log_index(1))
         founding_ = encode(snapshot);
 
@@ -174,6 +175,7 @@
 {
     auto const loaded = register_.load(snapshot.state);
     GUAVASHED_INVARIANT(loaded.has_value()) << to_string(loaded.error());
+    note_changes(instant::clock::now());
     log_change(log_level::info, "snapshot_installed",
                "index=" + std::to_string(snapshot.index.value()) +
                    " version=" + std::to_string(register_.version().value()));
@@ -185,12 +187,10 @@
     GUAVASHED_INVARIANT(command.has_value()) << to_string(command.error());
     instant const now = instant::clock::now();
     config_version const before = register_.version();
-    log_index const changed_before = register_.changed();
     register_outcome const outcome = register_.apply(entry.index, command.value(), now);
     GUAVASHED_INVARIANT(register_.version() >= before)
         << "version went from " << before << " to " << register_.version();
-    if (register_.changed() != changed_before)
-        last_change_ = now;
+    note_changes(now);
     settle(command.value(), outcome);
 }
 
@@ -214,7 +214,7 @@
 {
     log_change(log_level::warning, "session_lost", "peer=" + session->peer());
     if (entries_.erase(session.get()) > 0)
-        ++entries_epoch_;
+        feed_.note_entries();
 }
 
 void registry_node::on_frame(frame_session_ptr const& session, frame&& item)
--- a/src/fleet/registry_node.hpp
+++ b/src/fleet/registry_node.hpp
@@ -5,6 +5,7 @@
 #include "fleet/fleet_register.hpp"
 #include "fleet/group_mender.hpp"
 #include "fleet/registry_protocol.hpp"
+#include "fleet/view_feed.hpp"
 #include "fleet/view_messages.hpp"
 #include "frame_link.hpp"
 #include "http_server.hpp"
@@ -95,11 +96,17 @@
     {
         frame_session_ptr session;
         entry_report said;
-        std::uint64_t sent_to = 0;
-        std::uint64_t sent_entries = 0;
-        instant push_due;
-        instant entries_due;
-        instant resend;
+        feed_position at;
+    };
+    /// The last changes that were encoded; many entry hosts lack the same ones.
+    struct encoded_changes
+    {
+        std::uint64_t from = 0;
+        std::uint64_t to = 0;
+        /// Of the list of entry hosts in it; 0 without one.
+        std::uint64_t entries_epoch = 0;
+        instant until;
+        std::string bytes;
     };
 
     void tick(instant now);
@@ -136,9 +143,10 @@
 
     void on_entry_report(frame_session_ptr const& session, entry_report message);
     void push_changes(instant now);
-    bool push_due(instant now, entry_session const& entry) const;
     void push_to(instant now, entry_session& entry);
-    std::uint64_t newest_change() const;
+    void note_changes(instant now);
+    control_part part() const;
+    std::string const& changes_for(std::uint64_t index, bool with_entries, instant now);
     fleet_changes changes_since(std::uint64_t index, bool with_entries, instant now) const;
 
     registry_settings settings_;
@@ -160,8 +168,8 @@
     std::map<host_name, std::unique_ptr<frame_client>> links_;
     std::map<host_name, known_control> known_;
     std::map<frame_session*, entry_session> entries_;
-    /// Rises when an entry host comes or goes.
-    std::uint64_t entries_epoch_ = 1;
+    view_feed feed_;
+    encoded_changes encoded_;
     std::map<std::uint64_t, pending_order> pending_;
     std::map<std::uint64_t, pending_read> reads_;
     std::map<upstream_name, instant> heard_;
@@ -171,7 +179,6 @@
     bool leaving_ = false;
     raft_role_state last_role_ = raft_role_state::follower;
     host_name last_leader_;
-    instant last_change_;
     instant next_greeting_;
     instant next_flush_;
     instant next_watch_;
--- a/src/fleet/view_messages.hpp
+++ b/src/fleet/view_messages.hpp
@@ -26,13 +26,13 @@
     bool ready = false;
     /// Log index up to which its view holds all changes.
     std::uint64_t view_index = 0;
-    /// It asks this control host for what its view lacks; a whole view is sent by one host only.
-    bool pull = false;
+    /// It takes its view from this control host; others bring only what this one does not.
+    bool is_source = false;
 
     template <class Archive>
     void serialize(Archive& archive)
     {
-        archive(host, caller_endpoint, region, domain, ready, view_index, pull);
+        archive(host, caller_endpoint, region, domain, ready, view_index, is_source);
     }
 };
 
--- a/src/frame_link.cpp
+++ b/src/frame_link.cpp
@@ -132,6 +132,7 @@
         if (!endpoint || stopped_)
             return;
         auto socket = std::make_shared<tcp::socket>(context_);
+        connecting_since_ = instant::clock::now();
         timer_.expires_after(connect_limit);
         timer_.async_wait(
             [socket](boost::system::error_code code)
@@ -155,6 +156,7 @@
 
     std::shared_ptr<tcp_session> session_;
     endpoint_text const& endpoint() const { return endpoint_; }
+    std::chrono::microseconds round_trip() const { return round_trip_; }
 
 private:
     void on_connect(boost::system::error_code code, tcp::socket socket)
@@ -164,6 +166,8 @@
             return;
         if (code)
             return retry_later();
+        round_trip_ = std::chrono::duration_cast<std::chrono::microseconds>(instant::clock::now() -
+                                                                            connecting_since_);
         session_ = std::make_shared<tcp_session>(
             std::move(socket), handler_, identity_,
             [weak = weak_from_this()](std::shared_ptr<tcp_session> const&)
@@ -201,6 +205,8 @@
     endpoint_text endpoint_;
     std::minstd_rand random_;
     std::chrono::milliseconds backoff_ = first_backoff;
+    instant connecting_since_;
+    std::chrono::microseconds round_trip_{0};
     bool stopped_ = false;
 };
 
@@ -228,6 +234,10 @@
 {
     return implementation_->session_.get() == &session;
 }
+std::chrono::microseconds frame_client::round_trip() const
+{
+    return implementation_->round_trip();
+}
 endpoint_text const& frame_client::endpoint() const
 {
     return implementation_->endpoint();
--- a/src/frame_link.hpp
+++ b/src/frame_link.hpp
@@ -120,6 +120,8 @@
     bool send(frame_type type, std::string payload);
     /// True while `session` is this client's open session. Owner's thread only.
     bool owns(frame_session const& session) const;
+    /// How long the open session, or the last one, took to connect. Owner's thread only.
+    std::chrono::microseconds round_trip() const;
     /// Owner's thread only.
     endpoint_text const& endpoint() const;
 
