Refuse requests for the queue at their upstreams, not for the work itself

Objects that no upstream knows yet take four times as long; the expected time rose above 1.25 objectives, all requests of the route were refused, and so no upstream learned its objects. Ruled out: slots, the link (2,863 refusals of that route), the deadline. Change: a request that would not wait is offered as long as its answer can come by the deadline. The test failed before: the 60th answer of 900 ms was never asked for.

--- a/src/routing/upstream_board.cpp
+++ b/src/routing/upstream_board.cpp
@@ -37,8 +37,8 @@
 constexpr double own_region_ms = 12;
 constexpr double other_region_ms = 100;
 constexpr double max_spill_tokens = 3;
-/// Requests that would be answered later than this many latency objectives are refused at once:
-/// they would take slots from requests that can still be answered in time.
+/// Requests that would wait and be answered later than this many latency objectives are refused at
+/// once: they would take slots from requests that can still be answered in time.
 constexpr double latest_answer = 1.25;
 
 double decay(double half_life_ms, instant since, instant now)
@@ -221,7 +221,8 @@
     double const ahead = std::max(0.0, occupancy(state, now) + 1 - slots);
     item.wait_ms = ahead / slots * (time.home_ms + away) / 2 * slowness;
     double const failing = std::min(0.9, state.failure_rate * fade);
-    item.cost_ms = path_ms(state) + item.wait_ms + work + failing * request.route.objective_ms * 2;
+    item.answer_ms = path_ms(state) + item.wait_ms + work;
+    item.cost_ms = item.answer_ms + failing * request.route.objective_ms * 2;
 }
 
 std::vector<upstream_board::candidate> upstream_board::candidates(pick_request const& request,
@@ -239,6 +240,16 @@
     return found;
 }
 
+bool upstream_board::may_offer(candidate const& item, pick_request const& request,
+                               instant now) const
+{
+    double const left = std::chrono::duration<double, std::milli>(request.deadline - now).count();
+    if (item.answer_ms > left)
+        return false;
+    // A free slot serves a late answer at nobody's cost, and its upstream then knows the object.
+    return item.wait_ms <= 0 || item.cost_ms <= latest_answer * request.route.objective_ms;
+}
+
 std::optional<pick> upstream_board::choose(pick_request const& request, instant now,
                                            no_pick& why_not)
 {
@@ -279,9 +290,8 @@
         else
             best = best_at_home;
     }
-    double const left = std::chrono::duration<double, std::milli>(request.deadline - now).count();
     why_not = no_pick::too_late;
-    if (best->cost_ms > std::min(left, latest_answer * request.route.objective_ms))
+    if (!may_offer(*best, request, now))
         return std::nullopt;
     upstream_state& state = *best->state;
     ++state.in_flight;
--- a/src/routing/upstream_board.hpp
+++ b/src/routing/upstream_board.hpp
@@ -129,6 +129,9 @@
         double score = 0;
         int place = 2;
         double wait_ms = 0;
+        /// When the answer would come.
+        double answer_ms = 0;
+        /// That, and what a likely failure would cost.
         double cost_ms = 0;
     };
 
@@ -139,6 +142,7 @@
     std::vector<candidate> candidates(pick_request const& request, instant now);
     void rank(std::vector<candidate>& found, std::uint64_t object,
               std::vector<region_share> const& shares) const;
+    bool may_offer(candidate const& item, pick_request const& request, instant now) const;
     void predict(candidate& item, pick_request const& request, instant now);
     double occupancy(upstream_state const& state, instant now) const;
     double path_ms(upstream_state const& state) const;
--- a/test/correctness/routing/upstream_board_test.cpp
+++ b/test/correctness/routing/upstream_board_test.cpp
@@ -19,11 +19,11 @@
 }
 
 void report(upstream_board& board, std::string const& id, attempt_result result,
-            std::int64_t now_ms)
+            std::int64_t now_ms, double took_ms = 100)
 {
     attempt_report outcome;
     outcome.result = result;
-    outcome.took_ms = 100;
+    outcome.took_ms = took_ms;
     board.report(pick_of(id), "checks", outcome, at_ms(now_ms));
 }
 
@@ -126,6 +126,29 @@
     }
 }
 
+TEST_CASE("a request is refused for the queue at its upstreams, not for their own time")
+{
+    upstream_board board = board_of(whole_view(2));
+    // Objects that no upstream knows yet take over twice the objective of 400 ms.
+    for (int i = 0; i < 60; ++i)
+    {
+        std::string const id = pick_for(board, "block 7", i * 1000);
+        REQUIRE_FALSE(id.empty());
+        report(board, id, attempt_result::answered, i * 1000 + 900, 900);
+    }
+    SECTION("idle upstreams get requests, and so learn their objects")
+    {
+        CHECK_FALSE(pick_for(board, "block 7", 61000).empty());
+    }
+    SECTION("busy ones do not")
+    {
+        std::string last;
+        for (int i = 0; i < 20; ++i)
+            last = pick_for(board, "block 7", 61000);
+        CHECK(last.empty());
+    }
+}
+
 TEST_CASE("a late departure does not remove an upstream's next life")
 {
     upstream_board board = board_of(whole_view(1));
