Keep the tests' sockets from their child processes

Cause: five of six upstreams that the kill scenario restarts could not listen again ('Address already in use', printed and passed over): processes started meanwhile had inherited the listening sockets of the stand-ins, and the connections that a crash should have ended. Crashes of upstreams in that scenario and in the soak were therefore mostly not seen as crashes. Ruled out: a cycle of exchange and work (the sockets' holders were the children, by ss). Change: children close what they inherit; a stand-in that cannot listen fails the test. The settings of the test's callers and the line of counts have one copy each.

--- a/standin/platform_upstream.cpp
+++ b/standin/platform_upstream.cpp
@@ -25,16 +25,15 @@
     crash();
 }
 
-bool platform_upstream::start()
+result<void> platform_upstream::start()
 {
     duty_ = std::make_unique<duty>("upstream");
     server_ = std::make_unique<http_server>(*duty_, *this, http_server_limits{});
     client_ = std::make_unique<http_client>(*duty_);
     timer_ = std::make_unique<boost::asio::steady_timer>(duty_->context());
-    if (!server_->listen(endpoint_text(settings_.listen)))
-        return false;
+    BOOST_OUTCOME_TRY(server_->listen(endpoint_text(settings_.listen)));
     boost::asio::post(duty_->context(), [this] { announce(); });
-    return true;
+    return boost::outcome_v2::success();
 }
 
 void platform_upstream::drain()
@@ -141,8 +140,8 @@
     auto item = std::make_shared<work>();
     item->id = id;
     item->exchange = std::move(exchange);
-    bool const full = (running_ >= settings_.slots && waiting_.size() >= settings_.queue) ||
-                      draw(settings_.shed);
+    bool const full =
+        (running_ >= settings_.slots && waiting_.size() >= settings_.queue) || draw(settings_.shed);
     {
         std::lock_guard const guard(mutex_);
         record_.arrivals.push_back({id, instant::clock::now(), !full});
--- a/standin/platform_upstream.hpp
+++ b/standin/platform_upstream.hpp
@@ -64,7 +64,7 @@
     explicit platform_upstream(platform_upstream_settings settings);
     ~platform_upstream() override;
 
-    bool start();
+    guavashed::result<void> start();
     /// Says that it is draining, until it is told to stop.
     void drain();
     /// Stops at once, as if it had crashed.
--- a/test/correctness/fleet/platform_test.cpp
+++ b/test/correctness/fleet/platform_test.cpp
@@ -20,18 +20,7 @@
     return options;
 }
 
-standin::platform_caller_settings caller_of(platform_fleet const& fleet)
-{
-    standin::platform_caller_settings settings;
-    settings.host = "roster.example";
-    settings.idempotent_prefix = "/check/";
-    settings.once_prefix = "/confirm/";
-    settings.lookups = fleet.lookups();
-    settings.region = "north";
-    settings.domain = "north-a";
-    settings.per_s = 150;
-    return settings;
-}
+constexpr double calls_per_s = 150;
 
 void pause_ms(int ms)
 {
@@ -44,9 +33,7 @@
     auto const report = check_promises(caller.calls(), fleet.records());
     for (auto const& breach : report.breaches)
         UNSCOPED_INFO(breach);
-    UNSCOPED_INFO("calls " << report.counts.calls << ", served " << report.counts.served
-                           << ", refused " << report.counts.refused << ", failed "
-                           << report.counts.failed << ", unanswered " << report.counts.unanswered);
+    UNSCOPED_INFO(to_string(report.counts));
     return report;
 }
 
@@ -56,7 +43,7 @@
 {
     platform_fleet fleet(options_of("planned", 21000));
     REQUIRE(fleet.start());
-    standin::platform_caller caller(caller_of(fleet));
+    standin::platform_caller caller(fleet.caller_settings(calls_per_s));
     caller.start();
     pause_ms(700);
 
@@ -203,7 +190,7 @@
     options.lost_answers = 0.05;
     platform_fleet fleet(options);
     REQUIRE(fleet.start());
-    standin::platform_caller caller(caller_of(fleet));
+    standin::platform_caller caller(fleet.caller_settings(calls_per_s));
     caller.start();
     pause_ms(500);
     for (unsigned i = 0; i < 6; ++i)
@@ -226,7 +213,7 @@
     options.shed = 0.08;
     platform_fleet fleet(options);
     REQUIRE(fleet.start());
-    standin::platform_caller caller(caller_of(fleet));
+    standin::platform_caller caller(fleet.caller_settings(calls_per_s));
     caller.start();
     pause_ms(4000);
     auto const report = finish(fleet, caller);
@@ -241,7 +228,7 @@
     options.entries = 1;
     platform_fleet fleet(options);
     REQUIRE(fleet.start());
-    standin::platform_caller caller(caller_of(fleet));
+    standin::platform_caller caller(fleet.caller_settings(calls_per_s));
     caller.start();
     pause_ms(800);
     fleet.processes().signal(fleet.entry_name(0), SIGSTOP);
--- a/test/fleet/child_processes.cpp
+++ b/test/fleet/child_processes.cpp
@@ -62,6 +62,9 @@
                                      0644);
     posix_spawn_file_actions_addopen(&actions, 2, errors.c_str(), O_WRONLY | O_CREAT | O_APPEND,
                                      0644);
+    // Listening sockets of the stand-ins must end with them, not live on in a child.
+    constexpr int first_inherited = 3;
+    posix_spawn_file_actions_addclosefrom_np(&actions, first_inherited);
     process item;
     if (::posix_spawn(&item.id, binary.c_str(), &actions, nullptr, argv.data(),
                       environment.data()) != 0)
--- a/test/fleet/platform_fleet.cpp
+++ b/test/fleet/platform_fleet.cpp
@@ -5,6 +5,7 @@
 #include <fstream>
 #include <future>
 #include <iostream>
+#include <stdexcept>
 #include <thread>
 
 namespace fleet_test
@@ -155,8 +156,23 @@
     settings.shed = options_.shed;
     settings.seed = options_.seed + i;
     upstreams_[i] = std::make_unique<standin::platform_upstream>(settings);
-    if (!upstreams_[i]->start())
-        std::cerr << "upstream " << settings.id << " cannot listen on " << settings.listen << "\n";
+    if (auto const started = upstreams_[i]->start(); !started)
+        throw std::runtime_error("upstream " + settings.id + ": " + to_string(started.error()));
+}
+
+standin::platform_caller_settings platform_fleet::caller_settings(double per_s,
+                                                                  std::uint64_t seed) const
+{
+    standin::platform_caller_settings settings;
+    settings.host = "roster.example";
+    settings.idempotent_prefix = "/check/";
+    settings.once_prefix = "/confirm/";
+    settings.lookups = lookups();
+    settings.region = "north";
+    settings.domain = "north-a";
+    settings.per_s = per_s;
+    settings.seed = seed;
+    return settings;
 }
 
 void platform_fleet::lose_disk(unsigned control)
--- a/test/fleet/platform_fleet.hpp
+++ b/test/fleet/platform_fleet.hpp
@@ -5,6 +5,7 @@
 #include "child_processes.hpp"
 #include "duty.hpp"
 #include "http_client.hpp"
+#include "platform_caller.hpp"
 #include "platform_upstream.hpp"
 #include "relay.hpp"
 
@@ -70,6 +71,8 @@
     /// Records of all lives of all upstreams.
     std::vector<standin::platform_upstream_record> records() const;
     std::vector<std::string> lookups() const;
+    /// For a caller in "north-a" of the routes that `configure` sets.
+    standin::platform_caller_settings caller_settings(double per_s, std::uint64_t seed = 1) const;
     platform_fleet_options const& options() const { return options_; }
     std::string log_of(std::string const& name) const { return processes_.output(name); }
 
--- a/test/fleet/platform_promises.cpp
+++ b/test/fleet/platform_promises.cpp
@@ -83,6 +83,14 @@
 
 } // namespace
 
+std::string to_string(promise_counts const& counts)
+{
+    return "calls " + std::to_string(counts.calls) + ", served " + std::to_string(counts.served) +
+           ", refused " + std::to_string(counts.refused) + ", failed " +
+           std::to_string(counts.failed) + ", unanswered " + std::to_string(counts.unanswered) +
+           ", second arrivals " + std::to_string(counts.second_arrivals);
+}
+
 promise_report check_promises(std::map<std::string, standin::platform_call> const& calls,
                               std::vector<standin::platform_upstream_record> const& records)
 {
--- a/test/fleet/platform_promises.hpp
+++ b/test/fleet/platform_promises.hpp
@@ -23,6 +23,9 @@
     std::size_t second_arrivals = 0;
 };
 
+/// One line for reports. Thread safe.
+std::string to_string(promise_counts const& counts);
+
 struct promise_report
 {
     promise_counts counts;
--- a/test/fleet/platform_soak.cpp
+++ b/test/fleet/platform_soak.cpp
@@ -220,26 +220,7 @@
     std::vector<std::string> breaches_;
 };
 
-standin::platform_caller_settings caller_settings(platform_fleet const& fleet, std::uint64_t seed)
-{
-    standin::platform_caller_settings settings;
-    settings.host = "roster.example";
-    settings.idempotent_prefix = "/check/";
-    settings.once_prefix = "/confirm/";
-    settings.lookups = fleet.lookups();
-    settings.region = "north";
-    settings.domain = "north-a";
-    settings.per_s = 120;
-    settings.seed = seed;
-    return settings;
-}
-
-void print(promise_counts const& counts)
-{
-    std::cout << "calls " << counts.calls << ", served " << counts.served << ", refused "
-              << counts.refused << ", failed " << counts.failed << ", unanswered "
-              << counts.unanswered << ", second arrivals " << counts.second_arrivals << "\n";
-}
+constexpr double calls_per_s = 120;
 
 } // namespace
 
@@ -263,7 +244,7 @@
         std::cout << "the fleet did not start\n";
         return 1;
     }
-    standin::platform_caller caller(caller_settings(fleet, options.seed));
+    standin::platform_caller caller(fleet.caller_settings(calls_per_s, options.seed));
     caller.start();
     fault_source faults(fleet, options.seed);
     auto const until = steady::now() + std::chrono::milliseconds(int(duration_s * 1000));
@@ -281,7 +262,7 @@
     faults.check_version();
     auto const report = check_promises(caller.calls(), fleet.records());
     breaches.insert(breaches.end(), report.breaches.begin(), report.breaches.end());
-    print(report.counts);
+    std::cout << to_string(report.counts) << "\n";
     for (auto const& breach : breaches)
         std::cout << "BROKEN: " << breach << "\n";
     std::cout << (breaches.empty() ? "all promises held\n" : "A PROMISE BROKE\n");
