--- a/src/fleet/fleet_register.cpp
+++ b/src/fleet/fleet_register.cpp
@@ -73,7 +73,7 @@
     if (accepted_order_.size() > max_accepted_orders)
     {
         accepted_.erase(accepted_order_.front());
-        accepted_order_.erase(accepted_order_.begin());
+        accepted_order_.pop_front();
     }
     return register_outcome::accepted;
 }
--- a/src/fleet/fleet_register.hpp
+++ b/src/fleet/fleet_register.hpp
@@ -6,9 +6,11 @@
 #include "instant.hpp"
 #include "raft_messages.hpp"
 
+#include <cereal/types/deque.hpp>
 #include <cereal/types/map.hpp>
 #include <cereal/types/set.hpp>
 #include <cereal/types/vector.hpp>
+#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -99,7 +101,8 @@
     std::map<upstream_name, departure> departures_;
     std::set<failure_domain_name> evacuated_;
     std::set<std::uint64_t> accepted_;
-    std::vector<std::uint64_t> accepted_order_;
+    /// The same, oldest first.
+    std::deque<std::uint64_t> accepted_order_;
     std::unordered_map<upstream_name, instant> cold_until_;
 };
 
--- a/src/fleet/gateway_calls.cpp
+++ b/src/fleet/gateway_calls.cpp
@@ -112,8 +112,7 @@
                                   { on_attempt_end(item, std::move(outcome)); });
 }
 
-attempt_end gateway_node::describe(http_outcome const& outcome, answer_facts const& facts,
-                                   bool timed_out) const
+attempt_end gateway_node::describe(http_outcome const& outcome, answer_facts const& facts) const
 {
     attempt_end end;
     end.unsent = outcome.stage == send_stage::unsent;
@@ -121,7 +120,6 @@
     end.status = end.answered ? outcome.response->status : 0;
     end.is_signed = facts.is_signed;
     end.not_executed = facts.not_executed;
-    end.timed_out = timed_out;
     return end;
 }
 
@@ -132,7 +130,7 @@
     answer_facts facts;
     if (outcome.response)
         facts = protocol_.read_answer(*outcome.response);
-    attempt_end const end = describe(outcome, facts, now >= item->deadline);
+    attempt_end const end = describe(outcome, facts);
     attempt_verdict const verdict = judge(end);
     report_attempt(item, outcome, end, facts, verdict, now);
     if (item->finished)
@@ -159,7 +157,7 @@
     std::string const reason = outcome.response ? "upstream answered " + std::to_string(end.status)
                                                 : to_string(outcome.cause);
     give_up(item, item->may_have_run ? attempt_verdict::may_have_run : attempt_verdict::not_run,
-            end.timed_out, reason);
+            now >= item->deadline, reason);
 }
 
 void gateway_node::report_attempt(call_ptr const& item, http_outcome const& outcome,
--- a/src/fleet/gateway_node.hpp
+++ b/src/fleet/gateway_node.hpp
@@ -135,8 +135,7 @@
     void route_call(call_ptr const& item);
     void attempt(call_ptr const& item);
     void on_attempt_end(call_ptr const& item, http_outcome&& outcome);
-    attempt_end describe(http_outcome const& outcome, answer_facts const& facts,
-                         bool timed_out) const;
+    attempt_end describe(http_outcome const& outcome, answer_facts const& facts) const;
     void report_attempt(call_ptr const& item, http_outcome const& outcome, attempt_end const& end,
                         answer_facts const& facts, attempt_verdict verdict, instant now);
     bool may_try_again(call const& item, attempt_verdict verdict, bool unsent, instant now);
--- a/src/routing/attempt_policy.hpp
+++ b/src/routing/attempt_policy.hpp
@@ -19,8 +19,6 @@
     bool is_signed = false;
     /// The upstream states that it did not run the request.
     bool not_executed = false;
-    /// The caller's time is up.
-    bool timed_out = false;
 };
 
 enum class attempt_verdict : std::uint8_t
--- a/src/routing/upstream_board.cpp
+++ b/src/routing/upstream_board.cpp
@@ -97,6 +97,9 @@
     if (!changes.entries.empty())
         entries_ = changes.entries;
     shares_.clear();
+    by_service_.clear();
+    for (auto& [id, state] : upstreams_)
+        by_service_[state.row.service].push_back(&state);
 }
 
 bool upstream_board::may_warm(upstream_state const& state) const
@@ -126,7 +129,7 @@
 bool upstream_board::usable(upstream_state const& state, pick_request const& request, instant now,
                             bool ejected_too) const
 {
-    if (state.row.service != request.service || state.row.draining || state.replaced)
+    if (state.row.draining || state.replaced)
         return false;
     if (evacuated_.contains(state.row.domain) || request.tried.contains(state.row.id))
         return false;
@@ -229,11 +232,14 @@
                                                                   instant now)
 {
     std::vector<candidate> found;
+    auto const of_service = by_service_.find(request.service);
+    if (of_service == by_service_.end())
+        return found;
     for (bool const ejected_too : {false, true})
     {
-        for (auto& [id, state] : upstreams_)
-            if (usable(state, request, now, ejected_too))
-                found.push_back({&state});
+        for (auto* state : of_service->second)
+            if (usable(*state, request, now, ejected_too))
+                found.push_back({state});
         if (!found.empty())
             break;
     }
--- a/src/routing/upstream_board.hpp
+++ b/src/routing/upstream_board.hpp
@@ -155,6 +155,8 @@
     board_settings settings_;
     std::mt19937_64 random_;
     std::map<upstream_name, upstream_state> upstreams_;
+    /// The same, by service.
+    std::unordered_map<service_name, std::vector<upstream_state*>> by_service_;
     std::set<failure_domain_name> evacuated_;
     /// Hashes of the names of entry hosts.
     std::vector<std::uint64_t> entries_;
--- a/test/correctness/routing/attempt_policy_test.cpp
+++ b/test/correctness/routing/attempt_policy_test.cpp
@@ -63,7 +63,6 @@
 {
     auto const told = [](attempt_end const& end) { return classify(end, judge(end)); };
     attempt_end silent;
-    silent.timed_out = true;
     CHECK(told(silent) == attempt_result::failed);
     attempt_end unsent;
     unsent.unsent = true;
