Split raft, the entry core, the entry node and the board by job

Ruled out: changes of behaviour; functions moved as they were, but for the decay of learned figures, now two methods of the state it belongs to. Change: raft_election, raft_replication, entry_outcomes, entry_state, entry_actions, entry_operator, upstream_learning, fleet_checks. The board cannot be copied, since its index points into it.

--- /dev/null
+++ b/src/entry_state.cpp
@@ -0,0 +1,112 @@
+// What an entry host takes from control hosts, and what it tells them.
+#include "entry_core.hpp"
+#include "invariant.hpp"
+
+#include <algorithm>
+
+namespace guavashed
+{
+namespace
+{
+
+/// Shorter than the time for which control keeps a seat, by more than clocks differ.
+constexpr std::chrono::minutes seat_use{110};
+
+} // namespace
+void entry_core::on_state(instant now, fleet_state const& state)
+{
+    GUAVASHED_INVARIANT(state.config.version > state_.config.version ||
+                        state_.config.version.value() == 0)
+        << "version " << state.config.version << " would follow " << state_.config.version;
+    state_ = state;
+    for (auto& item : desks_)
+        if (service_config const* service = find_service(state_.config, item->name))
+            item->queue.replace_order(make_order(*service));
+    for (auto const& name : state_.config.leaving_upstreams)
+        for (auto& item : desks_)
+            item->pool.leave(name);
+    divide_caps();
+    dispatch(now);
+}
+
+void entry_core::on_seats(instant now, std::vector<seat> const& seats)
+{
+    state_.seats = seats;
+    divide_caps();
+    dispatch(now);
+}
+
+void entry_core::on_control_lease(instant now, bool connected)
+{
+    connected_ = connected;
+    if (connected)
+    {
+        bool const ended = seat_until_ != instant() && seat_until_ <= now;
+        seat_until_ = now + seat_use;
+        if (ended)
+            divide_caps();
+    }
+    else if (seat_until_ != instant() && seat_until_ <= now)
+        region_share_.base(slot_count(0));
+}
+
+/// This host's parts of its region's slots and of the links from it.
+void entry_core::divide_caps()
+{
+    region_config const* region = find_region(state_.config, settings_.region);
+    slot_count share(0);
+    std::uint32_t hosts = 1;
+    if (region != nullptr)
+    {
+        hosts = region->entry_hosts;
+        for (auto const& item : state_.seats)
+            if (item.host == settings_.host && item.region == settings_.region)
+                share = divide_cap(region->slot_cap, hosts, item.position);
+    }
+    region_share_.base(share);
+    links_.clear();
+    for (auto const& link : state_.config.links)
+        if (link.from == settings_.region)
+            links_[link.to].rate(bytes_per_second(link.cap.value() / hosts));
+    note("configuration", "in force here",
+         "share of the region " + std::to_string(share.value()) + " slots");
+}
+
+bool entry_core::on_view(view_push const& push)
+{
+    return view_.apply(push);
+}
+
+host_row entry_core::row(instant now) const
+{
+    host_row out;
+    out.host = settings_.host;
+    out.life = settings_.life;
+    out.region = settings_.region;
+    out.domain = settings_.domain;
+    out.phase = phase_;
+    out.version = state_.config.version;
+    for (auto const& item : desks_)
+    {
+        service_load load;
+        load.service = item->name;
+        load.slots = static_cast<std::uint16_t>(rate_of(*item, now).slots.value());
+        load.in_flight = static_cast<std::uint16_t>(item->pool.in_flight().value());
+        for (std::size_t r = 0; r < rank_count; ++r)
+            load.waiting[r] = static_cast<std::uint16_t>(item->queue.waiting(static_cast<rank>(r)));
+        load.mean_service_us = static_cast<std::uint32_t>(item->pool.mean_service().count());
+        out.services.push_back(std::move(load));
+    }
+    return out;
+}
+
+std::vector<upstream_pool::row> entry_core::upstream_rows() const
+{
+    std::vector<upstream_pool::row> out;
+    for (auto const& item : desks_)
+        for (auto& row : item->pool.rows())
+            out.push_back(std::move(row));
+    return out;
+}
+
+} // namespace guavashed
--- a/src/raft.cpp
+++ b/src/raft.cpp
@@ -14,16 +14,6 @@
 constexpr int lease_tenths = 9;
 /// A leader that a quorum has not answered for this many election times steps down.
 constexpr int silent_elections = 2;
-constexpr milliseconds snapshot_retry_after{1000};
-
-log_index after(log_index index)
-{
-    return log_index(index.value() + 1);
-}
-log_index before(log_index index)
-{
-    return log_index(index.value() - 1);
-}
 
 } // namespace
 
@@ -81,12 +71,6 @@
     std::erase_if(peers_, [&](auto const& peer) { return !membership_.find(peer.first); });
 }
 
-void raft::reset_election(instant now)
-{
-    std::uniform_int_distribution<std::int64_t> spread(0, settings_.election.count() * 1000);
-    election_due_ = now + settings_.election + microseconds(spread(random_));
-}
-
 raft_message raft::message_to(raft_member const& to, raft_message_kind kind) const
 {
     raft_message out;
@@ -99,21 +83,6 @@
     return out;
 }
 
-void raft::become_follower(instant now, log_term term, host_name leader)
-{
-    if (term > vote_.term)
-    {
-        vote_ = {term, host_name()};
-        pending_.vote = vote_;
-    }
-    role_.fire(raft_role_event::step_down);
-    leader_ = std::move(leader);
-    handing_over_ = false;
-    force_election_ = false;
-    peers_.clear();
-    reset_election(now);
-}
-
 void raft::tick(instant now)
 {
     if (is_leader())
@@ -138,63 +107,6 @@
         start_pre_vote(now);
 }
 
-void raft::start_pre_vote(instant now)
-{
-    role_.fire(raft_role_event::election_due);
-    leader_ = host_name();
-    votes_.clear();
-    votes_[settings_.self] = true;
-    reset_election(now);
-    if (votes_.size() >= membership_.quorum())
-        return start_vote(now);
-    send_votes(raft_message_kind::pre_vote, log_term(vote_.term.value() + 1));
-}
-
-void raft::start_vote(instant now)
-{
-    role_.fire(raft_role_event::pre_votes_won);
-    vote_ = {log_term(vote_.term.value() + 1), settings_.self};
-    pending_.vote = vote_;
-    votes_.clear();
-    votes_[settings_.self] = true;
-    reset_election(now);
-    if (votes_.size() >= membership_.quorum())
-        return become_leader(now);
-    send_votes(raft_message_kind::vote, vote_.term);
-}
-
-void raft::send_votes(raft_message_kind kind, log_term term)
-{
-    for (auto const& member : membership_.members)
-    {
-        if (!member.voter || member.host == settings_.self)
-            continue;
-        raft_message request = message_to(member, kind);
-        request.term = term;
-        request.index = last_index();
-        request.index_term = term_at(last_index());
-        request.granted = force_election_;
-        pending_.messages.push_back(std::move(request));
-    }
-}
-
-void raft::become_leader(instant now)
-{
-    role_.fire(raft_role_event::votes_won);
-    leader_ = settings_.self;
-    force_election_ = false;
-    handing_over_ = false;
-    peers_.clear();
-    for (auto const& member : membership_.members)
-    {
-        progress& peer = peers_[member.host];
-        peer.next = after(last_index());
-        peer.heard = now;
-    }
-    leader_start_ = append_entry(entry_kind::leader_start, {});
-    broadcast(now);
-}
-
 log_index raft::append_entry(entry_kind kind, std::string payload)
 {
     raft_entry entry{vote_.term, after(last_index()), kind, std::move(payload)};
@@ -238,79 +150,6 @@
     return index;
 }
 
-bool raft::hand_over(instant now)
-{
-    if (!is_leader())
-        return false;
-    raft_member const* best = nullptr;
-    for (auto const& member : membership_.members)
-    {
-        if (!member.voter || member.host == settings_.self)
-            continue;
-        if (peers_[member.host].heard + settings_.election < now)
-            continue;
-        if (best == nullptr || peers_[member.host].match > peers_[best->host].match)
-            best = &member;
-    }
-    if (best == nullptr)
-        return false;
-    handing_over_ = true;
-    hand_over_until_ = now + settings_.election * 2;
-    send_append(now, *best);
-    pending_.messages.push_back(message_to(*best, raft_message_kind::timeout_now));
-    return true;
-}
-
-void raft::broadcast(instant now)
-{
-    heartbeat_due_ = now + settings_.heartbeat;
-    for (auto const& member : membership_.members)
-        if (member.host != settings_.self)
-            send_append(now, member);
-}
-
-void raft::send_append(instant now, raft_member const& to)
-{
-    progress& peer = peers_[to.host];
-    if (peer.next.value() == 0)
-        peer.next = after(last_index());
-    if (peer.next < first_index())
-        return send_snapshot(now, to, peer);
-    raft_message out = message_to(to, raft_message_kind::append);
-    out.index = before(peer.next);
-    out.index_term = term_at(out.index);
-    out.commit = commit_;
-    out.sent_ns = now.time_since_epoch().count();
-    out.lease_left_ms =
-        lease_holds(now) ? remaining_ms(std::min(lease_end(), now + settings_.election), now) : 0;
-    std::size_t bytes = 0;
-    for (log_index at = peer.next; at <= last_index(); at = after(at))
-    {
-        raft_entry const& entry = entry_at(at);
-        bytes += entry.payload.size();
-        bool const full = out.entries.size() >= settings_.max_batch_entries ||
-                          (bytes > settings_.max_batch_bytes && !out.entries.empty());
-        if (full)
-            break;
-        out.entries.push_back(entry);
-    }
-    if (!peer.probing)
-        peer.next = log_index(peer.next.value() + out.entries.size());
-    pending_.messages.push_back(std::move(out));
-}
-
-void raft::send_snapshot(instant now, raft_member const& to, progress& peer)
-{
-    raft_message out = message_to(to, raft_message_kind::snapshot);
-    out.commit = commit_;
-    out.sent_ns = now.time_since_epoch().count();
-    if (now < peer.snapshot_retry)
-        return;
-    peer.snapshot_retry = now + snapshot_retry_after;
-    out.snapshot = encode(snapshot_);
-    pending_.messages.push_back(std::move(out));
-}
-
 bool raft::known_sender(raft_message const& message) const
 {
     raft_member const* member = membership_.find(message.from);
@@ -346,180 +185,6 @@
     }
 }
 
-bool raft::log_is_current(log_index index, log_term term) const
-{
-    log_term const own = term_at(last_index());
-    return term > own || (term == own && index >= last_index());
-}
-
-void raft::on_vote_request(instant now, raft_message const& message)
-{
-    bool const real = message.kind == raft_message_kind::vote;
-    bool const transfer = message.granted;
-    // A vote under a live leader's lease would let two leaders answer at once.
-    bool const barred = !transfer && (now < vote_barrier_ || is_leader());
-    if (barred || !is_member() || !known_sender(message))
-        return;
-    if (real && message.term > vote_.term)
-        become_follower(now, message.term, host_name());
-    bool granted = message.term > vote_.term ||
-                   (real && message.term == vote_.term &&
-                    (vote_.voted_for == message.from || vote_.voted_for == host_name()));
-    granted = granted && log_is_current(message.index, message.index_term);
-    if (real && granted)
-    {
-        vote_.voted_for = message.from;
-        pending_.vote = vote_;
-        reset_election(now);
-    }
-    raft_message reply =
-        message_to({message.from, message.from_disk, true},
-                   real ? raft_message_kind::vote_reply : raft_message_kind::pre_vote_reply);
-    reply.term = granted ? message.term : vote_.term;
-    reply.granted = granted;
-    pending_.messages.push_back(std::move(reply));
-}
-
-void raft::on_vote_reply(instant now, raft_message const& message)
-{
-    if (!known_sender(message) || !membership_.find(message.from)->voter)
-        return;
-    bool const pre = message.kind == raft_message_kind::pre_vote_reply;
-    if (!message.granted)
-    {
-        if (message.term > vote_.term)
-            become_follower(now, message.term, host_name());
-        return;
-    }
-    auto const wanted = pre ? raft_role_state::pre_candidate : raft_role_state::candidate;
-    log_term const term = pre ? log_term(vote_.term.value() + 1) : vote_.term;
-    if (role() != wanted || message.term != term)
-        return;
-    votes_[message.from] = true;
-    if (votes_.size() < membership_.quorum())
-        return;
-    if (pre)
-        start_vote(now);
-    else
-        become_leader(now);
-}
-
-void raft::on_append(instant now, raft_message const& message)
-{
-    raft_message reply =
-        message_to({message.from, message.from_disk, true}, raft_message_kind::append_reply);
-    reply.sent_ns = message.sent_ns;
-    if (message.term < vote_.term)
-    {
-        pending_.messages.push_back(std::move(reply));
-        return;
-    }
-    GUAVASHED_INVARIANT(!is_leader() || message.term > vote_.term)
-        << message.from << " and " << settings_.self << " both lead term " << vote_.term;
-    if (message.term > vote_.term || role() != raft_role_state::follower || leader_ != message.from)
-        become_follower(now, message.term, message.from);
-    reset_election(now);
-    vote_barrier_ = now + settings_.election;
-    reply.term = vote_.term;
-    reply.granted = accept_entries(message);
-    reply.index = reply.granted
-                      ? log_index(message.index.value() + message.entries.size())
-                      : std::min(last_index(), before(std::max(message.index, log_index(1))));
-    if (reply.granted)
-        commit_to(std::min(message.commit, reply.index));
-    // A replica that lacks what the leader has committed knows of nothing that it is the newest.
-    if (reply.granted && commit_ >= message.commit)
-        fresh_until_ = now + milliseconds(message.lease_left_ms);
-    pending_.messages.push_back(std::move(reply));
-}
-
-bool raft::accept_entries(raft_message const& message)
-{
-    if (message.index > last_index())
-        return false;
-    if (message.index >= snapshot_.index && term_at(message.index) != message.index_term)
-        return false;
-    for (auto const& entry : message.entries)
-    {
-        if (entry.index <= snapshot_.index)
-            continue;
-        if (entry.index <= last_index())
-        {
-            if (entry_at(entry.index).term == entry.term)
-                continue;
-            GUAVASHED_INVARIANT(entry.index > commit_)
-                << "committed entry " << entry.index << " would be replaced by " << message.from;
-            entries_.resize(entry.index.value() - first_index().value());
-            std::erase_if(pending_.append,
-                          [&](raft_entry const& item) { return item.index >= entry.index; });
-            pending_.truncate_from =
-                std::min(pending_.truncate_from.value_or(entry.index), entry.index);
-            stable_ = std::min(stable_, before(entry.index));
-            in_flight_last_ = std::min(in_flight_last_, before(entry.index));
-            reload_membership();
-        }
-        GUAVASHED_INVARIANT(entry.index == after(last_index()))
-            << "entry " << entry.index << " would leave a gap after " << last_index();
-        entries_.push_back(entry);
-        pending_.append.push_back(entry);
-        if (entry.kind == entry_kind::membership)
-            if (auto decoded = decode<raft_membership>(entry.payload, message.from.value()))
-                adopt_membership(std::move(decoded).value(), entry.index);
-    }
-    return true;
-}
-
-void raft::on_append_reply(instant now, raft_message const& message)
-{
-    if (message.term > vote_.term)
-        return become_follower(now, message.term, host_name());
-    if (!is_leader() || message.term < vote_.term || !known_sender(message))
-        return;
-    progress& peer = peers_[message.from];
-    peer.heard = now;
-    peer.lease_from = std::max(peer.lease_from, instant(instant::duration(message.sent_ns)));
-    if (!message.granted)
-    {
-        peer.probing = true;
-        peer.next = std::min(after(message.index), after(last_index()));
-        return send_append(now, *membership_.find(message.from));
-    }
-    peer.probing = false;
-    peer.match = std::max(peer.match, message.index);
-    peer.next = std::max(peer.next, after(peer.match));
-    advance_commit();
-    if (peer.next <= last_index())
-        send_append(now, *membership_.find(message.from));
-}
-
-void raft::on_snapshot_message(instant now, raft_message const& message)
-{
-    if (message.term < vote_.term)
-        return;
-    if (message.term > vote_.term || role() != raft_role_state::follower)
-        become_follower(now, message.term, message.from);
-    leader_ = message.from;
-    reset_election(now);
-    vote_barrier_ = now + settings_.election;
-    auto decoded = decode<raft_snapshot>(message.snapshot, message.from.value());
-    if (!decoded)
-        return;
-    raft_snapshot& snapshot = decoded.value();
-    bool const held = snapshot.index > commit_ && snapshot.index <= last_index() &&
-                      term_at(snapshot.index) == snapshot.term;
-    // A late snapshot must not drop entries behind it that this replica has acknowledged.
-    if (held)
-        commit_to(snapshot.index);
-    else if (snapshot.index > commit_)
-        install(std::move(snapshot));
-    raft_message reply =
-        message_to({message.from, message.from_disk, true}, raft_message_kind::append_reply);
-    reply.granted = true;
-    reply.index = commit_;
-    reply.sent_ns = message.sent_ns;
-    pending_.messages.push_back(std::move(reply));
-}
-
 void raft::install(raft_snapshot snapshot)
 {
     snapshot_ = snapshot;
@@ -547,39 +212,6 @@
     return out;
 }
 
-void raft::advance_commit()
-{
-    std::vector<log_index> matches;
-    for (auto const& member : membership_.members)
-        if (member.voter)
-            matches.push_back(member.host == settings_.self ? stable_ : peers_[member.host].match);
-    if (matches.empty())
-        return;
-    std::sort(matches.begin(), matches.end(), std::greater<>());
-    log_index const agreed = matches[membership_.quorum() - 1];
-    // Only an entry of the leader's own term may be committed by counting.
-    if (agreed <= commit_ || agreed < leader_start_)
-        return;
-    GUAVASHED_INVARIANT(term_at(agreed) == vote_.term)
-        << "entry " << agreed << " of term " << term_at(agreed) << " counted in term "
-        << vote_.term;
-    commit_to(agreed);
-}
-
-void raft::commit_to(log_index index)
-{
-    if (index <= commit_)
-        return;
-    GUAVASHED_INVARIANT(index <= last_index())
-        << "commit " << index << " is past the log's end " << last_index();
-    commit_ = index;
-    while (applied_ < commit_)
-    {
-        applied_ = after(applied_);
-        pending_.committed.push_back(entry_at(applied_));
-    }
-}
-
 raft_batch raft::take_batch()
 {
     if (in_flight_ || pending_.empty())
--- a/src/raft_messages.hpp
+++ b/src/raft_messages.hpp
@@ -15,6 +15,16 @@
 using log_term = strong_type<struct log_term_tag, std::uint64_t>;
 using log_index = strong_type<struct log_index_tag, std::uint64_t>;
 
+/// Thread safe; the index before the first is 0, which has no predecessor.
+inline log_index after(log_index index)
+{
+    return log_index(index.value() + 1);
+}
+inline log_index before(log_index index)
+{
+    return log_index(index.value() - 1);
+}
+
 /// A replica: its host and the disk that holds its log. The same host with another disk is another
 /// member, since what the old disk promised is lost.
 struct raft_member
--- a/src/routing/upstream_board.hpp
+++ b/src/routing/upstream_board.hpp
@@ -84,6 +84,9 @@
 {
 public:
     upstream_board(board_settings settings, std::uint64_t seed);
+    // The index by service points into this object's own states.
+    upstream_board(upstream_board const&) = delete;
+    upstream_board(upstream_board&&) = default;
 
     /// Brings the view up to date. Precondition: `changes.from` is at most the view's index.
     void apply(fleet_changes const& changes, instant now);
@@ -117,6 +120,11 @@
         instant next_cold_send;
         /// Another one answers at its address.
         bool replaced = false;
+
+        /// Weight of `others` now, by its age.
+        double load_weight(instant now) const;
+        /// Weight of `slowness` and `failure_rate` now, by their age.
+        double rates_weight(instant now) const;
     };
     struct service_time
     {
--- /dev/null
+++ b/src/routing/upstream_learning.cpp
@@ -0,0 +1,139 @@
+// What an entry host learns of upstreams from how attempts end.
+#include "log.hpp"
+#include "routing/upstream_board.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace guavashed
+{
+namespace
+{
+
+/// Reports of load count half after so long.
+constexpr double load_half_life_ms = 400;
+/// Learned slowness and failure rates count half after so long without news.
+constexpr double rate_half_life_ms = 4000;
+constexpr double learning_rate = 0.1;
+constexpr double max_slowness = 12;
+constexpr milliseconds first_ejection{500};
+constexpr milliseconds longest_ejection{4000};
+/// Breaks in a row after which an upstream that accepts connections is left alone.
+constexpr std::uint32_t failures_to_eject = 3;
+
+double decay(double half_life_ms, instant since, instant now)
+{
+    double const age = std::chrono::duration<double, std::milli>(now - since).count();
+    return std::exp2(-std::max(0.0, age) / half_life_ms);
+}
+
+} // namespace
+
+double upstream_board::upstream_state::load_weight(instant now) const
+{
+    return decay(load_half_life_ms, others_at, now);
+}
+
+double upstream_board::upstream_state::rates_weight(instant now) const
+{
+    return decay(rate_half_life_ms, rates_at, now);
+}
+
+void upstream_board::eject(upstream_state& state, instant now)
+{
+    auto const doublings = std::min<std::uint32_t>(state.failures_in_row, 4);
+    auto const span = std::min(longest_ejection, first_ejection * (1 << doublings) / 2);
+    state.ejected_until = now + span;
+    log_change(log_level::warning, "upstream_ejected",
+               "upstream=" + state.row.id.value() + " address=" + state.row.address.value() +
+                   " failures_in_row=" + std::to_string(state.failures_in_row) +
+                   " for_ms=" + std::to_string(span.count()));
+}
+
+void upstream_board::learn_time(upstream_state& state, pick const& chosen, std::string const& route,
+                                double took_ms, instant now)
+{
+    auto const known = times_.find(route);
+    if (known == times_.end())
+        return;
+    double& expected = chosen.place == 0 ? known->second.home_ms : known->second.other_ms;
+    double const work = std::max(1.0, took_ms - path_ms(state) - chosen.wait_ms);
+    double const ratio = std::clamp(work / std::max(1.0, expected), 0.3, max_slowness);
+    double const fade = state.rates_weight(now);
+    double const before = 1 + (state.slowness - 1) * fade;
+    state.slowness = before + (ratio - before) * learning_rate * 2;
+    state.failure_rate *= fade * (1 - learning_rate);
+    state.rates_at = now;
+    // A slow upstream must not pass for the service's usual time.
+    if (before < 2)
+        expected += (std::min(work, expected * 3) - expected) * learning_rate / 2;
+}
+
+void upstream_board::report(pick const& chosen, std::string const& route,
+                            attempt_report const& outcome, instant now)
+{
+    auto const at = upstreams_.find(chosen.id);
+    if (at == upstreams_.end())
+        return;
+    upstream_state& state = at->second;
+    if (state.in_flight > 0)
+        --state.in_flight;
+    if (outcome.connect_ms)
+    {
+        double& known =
+            connect_ms_.try_emplace(state.row.domain, *outcome.connect_ms).first->second;
+        known += (*outcome.connect_ms - known) * learning_rate;
+    }
+    if (outcome.cold_left_ms && *outcome.cold_left_ms > 0)
+        state.cold_until = std::max(state.cold_until, now + milliseconds(*outcome.cold_left_ms));
+    if (outcome.load)
+    {
+        double const all = outcome.load->running + outcome.load->waiting;
+        state.others = std::max(0.0, all - state.in_flight - 1);
+        state.others_at = now;
+    }
+    double const fade = state.rates_weight(now);
+    switch (outcome.result)
+    {
+    case attempt_result::answered:
+        state.failures_in_row = 0;
+        return learn_time(state, chosen, route, outcome.took_ms, now);
+    case attempt_result::shed:
+        if (!outcome.load)
+        {
+            state.others = std::max(state.others, state.row.slots * 2.0);
+            state.others_at = now;
+        }
+        state.failure_rate = state.failure_rate * fade * (1 - learning_rate) + learning_rate;
+        state.rates_at = now;
+        return;
+    case attempt_result::misdirected:
+        state.replaced = true;
+        log_change(log_level::warning, "upstream_replaced",
+                   "upstream=" + chosen.id.value() + " address=" + chosen.address.value());
+        return;
+    case attempt_result::failed:
+        state.failure_rate = state.failure_rate * fade * (1 - learning_rate) + learning_rate;
+        state.rates_at = now;
+        if (now < state.ejected_until)
+            return;
+        if (++state.failures_in_row >= failures_to_eject)
+            eject(state, now);
+        return;
+    case attempt_result::unreachable:
+        // Requests that were under way together tell of one failure.
+        if (now < state.ejected_until)
+            return;
+        ++state.failures_in_row;
+        // It may come back cold before it has announced itself again.
+        if (auto const service = services_.find(state.row.service); service != services_.end())
+            state.cold_until = std::max(
+                state.cold_until,
+                now + milliseconds(static_cast<std::int64_t>(service->second.warmup_s * 1000)));
+        return eject(state, now);
+    case attempt_result::abandoned:
+        return;
+    }
+}
+
+} // namespace guavashed
