--- a/apps/guavashed.cpp
+++ b/apps/guavashed.cpp
@@ -1,8 +1,8 @@
 /// \file
 /// The operators' tool: plan, confirm, status, drain, history, explain and reports.
-#include "burn_report.hpp"
-#include "operator_client.hpp"
-#include "settings.hpp"
+#include "daemon/settings.hpp"
+#include "reports/burn_report.hpp"
+#include "transport/operator_client.hpp"
 
 #include <boost/json.hpp>
 #include <cstdlib>
--- a/apps/guavashedd.cpp
+++ b/apps/guavashedd.cpp
@@ -1,10 +1,10 @@
 /// \file
 /// The daemon: one process of the system, with the roles that its settings give it.
-#include "control_node.hpp"
-#include "entry_node.hpp"
-#include "log.hpp"
-#include "process_life.hpp"
-#include "settings.hpp"
+#include "base/log.hpp"
+#include "control/control_node.hpp"
+#include "daemon/process_life.hpp"
+#include "daemon/settings.hpp"
+#include "entry/entry_node.hpp"
 
 #include <boost/asio/signal_set.hpp>
 #include <iostream>
--- a/bench/capacity.cpp
+++ b/bench/capacity.cpp
@@ -2,15 +2,15 @@
 /// Measures what control costs against the number of entry hosts, fits slopes, and prints the table
 /// of docs/CAPACITY.md for the size to design for. Exits non-zero when a row misses its limit.
 #include "arguments.hpp"
-#include "codec.hpp"
-#include "configuration.hpp"
-#include "control_state.hpp"
+#include "base/codec.hpp"
+#include "control/configuration.hpp"
+#include "control/control_state.hpp"
+#include "control/fleet_messages.hpp"
+#include "entry/steering_table.hpp"
 #include "fleet.hpp"
-#include "fleet_messages.hpp"
-#include "frame_link.hpp"
-#include "operator_client.hpp"
 #include "process_cost.hpp"
-#include "steering_table.hpp"
+#include "transport/frame_link.hpp"
+#include "transport/operator_client.hpp"
 
 #include <atomic>
 #include <boost/asio/steady_timer.hpp>
--- a/bench/control.cpp
+++ b/bench/control.cpp
@@ -1,7 +1,7 @@
 #include "figures.hpp"
 #include "fleet.hpp"
-#include "operator_client.hpp"
 #include "process_cost.hpp"
+#include "transport/operator_client.hpp"
 
 #include <algorithm>
 #include <boost/json.hpp>
--- a/bench/decisions.cpp
+++ b/bench/decisions.cpp
@@ -1,6 +1,6 @@
-#include "admission_queue.hpp"
+#include "entry/admission_queue.hpp"
+#include "entry/steering_table.hpp"
 #include "figures.hpp"
-#include "steering_table.hpp"
 
 #include <chrono>
 
--- a/bench/lookups.cpp
+++ b/bench/lookups.cpp
@@ -1,6 +1,6 @@
-#include "entry_front.hpp"
+#include "entry/entry_front.hpp"
 #include "figures.hpp"
-#include "http_client.hpp"
+#include "transport/http_client.hpp"
 
 #include <algorithm>
 #include <atomic>
--- a/src/chart.cpp
+++ b/src/base/chart.cpp
@@ -1,6 +1,6 @@
-#include "chart.hpp"
+#include "base/chart.hpp"
 
-#include "invariant.hpp"
+#include "base/invariant.hpp"
 
 #include <algorithm>
 #include <boost/json.hpp>
--- a/src/chart.hpp
+++ b/src/base/chart.hpp
@@ -2,7 +2,7 @@
 /// Defines chart, a state chart read from a file and checked, and chart_state, one run of it.
 #pragma once
 
-#include "error.hpp"
+#include "base/error.hpp"
 
 #include <cstdint>
 #include <span>
--- a/src/codec.hpp
+++ b/src/base/codec.hpp
@@ -2,7 +2,7 @@
 /// Defines encode and decode, cereal's portable binary form of a message as bytes and back.
 #pragma once
 
-#include "error.hpp"
+#include "base/error.hpp"
 
 #include <cereal/archives/portable_binary.hpp>
 #include <cereal/types/optional.hpp>
--- a/src/duty.cpp
+++ b/src/base/duty.cpp
@@ -1,4 +1,4 @@
-#include "duty.hpp"
+#include "base/duty.hpp"
 
 #include <boost/asio/post.hpp>
 #include <pthread.h>
--- a/src/endpoint.cpp
+++ b/src/base/endpoint.cpp
@@ -1,4 +1,4 @@
-#include "endpoint.hpp"
+#include "base/endpoint.hpp"
 
 #include <charconv>
 
--- a/src/endpoint.hpp
+++ b/src/base/endpoint.hpp
@@ -2,8 +2,8 @@
 /// Defines the conversion of "127.0.0.1:7000" into a TCP or UDP endpoint.
 #pragma once
 
-#include "error.hpp"
-#include "ids.hpp"
+#include "base/error.hpp"
+#include "base/ids.hpp"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/ip/udp.hpp>
--- a/src/error.cpp
+++ b/src/base/error.cpp
@@ -1,4 +1,4 @@
-#include "error.hpp"
+#include "base/error.hpp"
 
 namespace guavashed
 {
--- a/src/ids.hpp
+++ b/src/base/ids.hpp
@@ -2,7 +2,7 @@
 /// Defines the ids and units that messages, settings and decisions share.
 #pragma once
 
-#include "strong_type.hpp"
+#include "base/strong_type.hpp"
 
 #include <cstdint>
 #include <string>
--- a/src/invariant.cpp
+++ b/src/base/invariant.cpp
@@ -1,4 +1,4 @@
-#include "invariant.hpp"
+#include "base/invariant.hpp"
 
 #include <atomic>
 #include <cstdlib>
--- a/src/journal.hpp
+++ b/src/base/journal.hpp
@@ -2,8 +2,8 @@
 /// Defines journal, a bounded record of decisions that `guavashed explain` reads.
 #pragma once
 
-#include "ids.hpp"
-#include "instant.hpp"
+#include "base/ids.hpp"
+#include "base/instant.hpp"
 
 #include <string>
 #include <vector>
--- a/src/latency_meter.cpp
+++ b/src/base/latency_meter.cpp
@@ -1,4 +1,4 @@
-#include "latency_meter.hpp"
+#include "base/latency_meter.hpp"
 
 #include <array>
 #include <boost/accumulators/accumulators.hpp>
--- a/src/latency_meter.hpp
+++ b/src/base/latency_meter.hpp
@@ -2,8 +2,8 @@
 /// Defines latency_meter, quantiles of service time by rank for this process's own metrics.
 #pragma once
 
-#include "ids.hpp"
-#include "instant.hpp"
+#include "base/ids.hpp"
+#include "base/instant.hpp"
 
 #include <memory>
 #include <string>
--- a/src/log.cpp
+++ b/src/base/log.cpp
@@ -1,4 +1,4 @@
-#include "log.hpp"
+#include "base/log.hpp"
 
 #include <atomic>
 #include <cerrno>
--- a/src/ticker.hpp
+++ b/src/base/ticker.hpp
@@ -2,8 +2,8 @@
 /// Defines ticker, which calls a function again and again on a duty's thread.
 #pragma once
 
-#include "duty.hpp"
-#include "instant.hpp"
+#include "base/duty.hpp"
+#include "base/instant.hpp"
 
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
--- a/src/claim_book.cpp
+++ b/src/control/claim_book.cpp
@@ -1,4 +1,4 @@
-#include "claim_book.hpp"
+#include "control/claim_book.hpp"
 
 namespace guavashed
 {
--- a/src/claim_book.hpp
+++ b/src/control/claim_book.hpp
@@ -2,8 +2,8 @@
 /// Defines claim_book, one recorder's part in "runs at most once".
 #pragma once
 
-#include "ids.hpp"
-#include "instant.hpp"
+#include "base/ids.hpp"
+#include "base/instant.hpp"
 
 #include <cereal/types/string.hpp>
 #include <cstdint>
--- a/src/configuration.hpp
+++ b/src/control/configuration.hpp
@@ -2,8 +2,8 @@
 /// Defines configuration, what operators have had accepted, in the form that all hosts hold.
 #pragma once
 
-#include "error.hpp"
-#include "ids.hpp"
+#include "base/error.hpp"
+#include "base/ids.hpp"
 
 #include <array>
 #include <cereal/types/array.hpp>
--- a/src/control_membership.cpp
+++ b/src/control/control_membership.cpp
@@ -1,7 +1,7 @@
 // How control hosts find each other, found the group, and take in a replaced disk.
-#include "codec.hpp"
-#include "control_node.hpp"
-#include "log.hpp"
+#include "base/codec.hpp"
+#include "base/log.hpp"
+#include "control/control_node.hpp"
 
 #include <algorithm>
 
--- a/src/control_messages.hpp
+++ b/src/control/control_messages.hpp
@@ -2,8 +2,8 @@
 /// Defines the messages by which control hosts find and take in each other.
 #pragma once
 
-#include "fleet_messages.hpp"
-#include "raft_messages.hpp"
+#include "control/fleet_messages.hpp"
+#include "control/raft_messages.hpp"
 
 namespace guavashed
 {
--- a/src/control_node.cpp
+++ b/src/control/control_node.cpp
@@ -1,8 +1,8 @@
-#include "control_node.hpp"
+#include "control/control_node.hpp"
 
-#include "codec.hpp"
-#include "invariant.hpp"
-#include "log.hpp"
+#include "base/codec.hpp"
+#include "base/invariant.hpp"
+#include "base/log.hpp"
 
 #include <algorithm>
 #include <future>
--- a/src/control_node.hpp
+++ b/src/control/control_node.hpp
@@ -2,16 +2,16 @@
 /// Defines control_node, the control role: the replicated log, the fleet's presence, the recorder.
 #pragma once
 
-#include "control_messages.hpp"
-#include "control_state.hpp"
-#include "frame_link.hpp"
-#include "operator_port.hpp"
-#include "presence_table.hpp"
-#include "recorder.hpp"
-#include "replica_driver.hpp"
-#include "settings.hpp"
-#include "shift_controller.hpp"
-#include "ticker.hpp"
+#include "base/ticker.hpp"
+#include "control/control_messages.hpp"
+#include "control/control_state.hpp"
+#include "control/presence_table.hpp"
+#include "control/recorder.hpp"
+#include "control/replica_driver.hpp"
+#include "control/shift_controller.hpp"
+#include "daemon/settings.hpp"
+#include "transport/frame_link.hpp"
+#include "transport/operator_port.hpp"
 
 #include <map>
 #include <memory>
--- a/src/control_operator.cpp
+++ b/src/control/control_operator.cpp
@@ -1,4 +1,4 @@
-#include "control_node.hpp"
+#include "control/control_node.hpp"
 
 #include <algorithm>
 #include <boost/json.hpp>
--- a/src/control_presence.cpp
+++ b/src/control/control_presence.cpp
@@ -1,6 +1,6 @@
 // Who of the entry hosts is present, what each is sent, and when a change is in force everywhere.
-#include "codec.hpp"
-#include "control_node.hpp"
+#include "base/codec.hpp"
+#include "control/control_node.hpp"
 
 #include <algorithm>
 
--- a/src/control_state.cpp
+++ b/src/control/control_state.cpp
@@ -1,8 +1,8 @@
-#include "control_state.hpp"
+#include "control/control_state.hpp"
 
-#include "codec.hpp"
-#include "fleet_view.hpp"
-#include "invariant.hpp"
+#include "base/codec.hpp"
+#include "base/invariant.hpp"
+#include "entry/fleet_view.hpp"
 
 #include <algorithm>
 #include <cereal/types/deque.hpp>
--- a/src/control_state.hpp
+++ b/src/control/control_state.hpp
@@ -3,10 +3,10 @@
 /// answers.
 #pragma once
 
-#include "error.hpp"
-#include "fleet_messages.hpp"
-#include "ids.hpp"
-#include "raft_messages.hpp"
+#include "base/error.hpp"
+#include "base/ids.hpp"
+#include "control/fleet_messages.hpp"
+#include "control/raft_messages.hpp"
 
 #include <cereal/types/string.hpp>
 #include <cereal/types/vector.hpp>
--- a/src/fleet_messages.hpp
+++ b/src/control/fleet_messages.hpp
@@ -2,8 +2,8 @@
 /// Defines the messages by which entry hosts and control hosts know of each other.
 #pragma once
 
-#include "configuration.hpp"
-#include "ids.hpp"
+#include "base/ids.hpp"
+#include "control/configuration.hpp"
 
 #include <array>
 #include <cereal/types/array.hpp>
--- a/src/parse_intent.cpp
+++ b/src/control/parse_intent.cpp
@@ -1,4 +1,4 @@
-#include "configuration.hpp"
+#include "control/configuration.hpp"
 
 #include <boost/json.hpp>
 #include <set>
--- a/src/presence_table.cpp
+++ b/src/control/presence_table.cpp
@@ -1,4 +1,4 @@
-#include "presence_table.hpp"
+#include "control/presence_table.hpp"
 
 #include <algorithm>
 
--- a/src/presence_table.hpp
+++ b/src/control/presence_table.hpp
@@ -2,8 +2,8 @@
 /// Defines presence_table, the entry hosts that a control host knows to be present.
 #pragma once
 
-#include "fleet_messages.hpp"
-#include "instant.hpp"
+#include "base/instant.hpp"
+#include "control/fleet_messages.hpp"
 
 #include <map>
 #include <vector>
--- a/src/raft.cpp
+++ b/src/control/raft.cpp
@@ -1,7 +1,7 @@
-#include "raft.hpp"
+#include "control/raft.hpp"
 
-#include "codec.hpp"
-#include "invariant.hpp"
+#include "base/codec.hpp"
+#include "base/invariant.hpp"
 
 #include <algorithm>
 
--- a/src/raft.hpp
+++ b/src/control/raft.hpp
@@ -5,10 +5,10 @@
 /// Ongaro's thesis, chapters 4 (one membership change at a time), 6 (leases) and 9 (pre-vote).
 #pragma once
 
-#include "error.hpp"
-#include "instant.hpp"
-#include "raft_messages.hpp"
-#include "raft_role.hpp"
+#include "base/error.hpp"
+#include "base/instant.hpp"
+#include "control/raft_messages.hpp"
+#include "control/raft_role.hpp"
 
 #include <deque>
 #include <map>
--- a/src/raft_election.cpp
+++ b/src/control/raft_election.cpp
@@ -1,7 +1,7 @@
 // How replicas elect a leader.
-#include "codec.hpp"
-#include "invariant.hpp"
-#include "raft.hpp"
+#include "base/codec.hpp"
+#include "base/invariant.hpp"
+#include "control/raft.hpp"
 
 #include <algorithm>
 
--- a/src/raft_messages.cpp
+++ b/src/control/raft_messages.cpp
@@ -1,4 +1,4 @@
-#include "raft_messages.hpp"
+#include "control/raft_messages.hpp"
 
 #include <algorithm>
 
--- a/src/raft_messages.hpp
+++ b/src/control/raft_messages.hpp
@@ -2,7 +2,7 @@
 /// Defines the entries, members and messages of the replicated log.
 #pragma once
 
-#include "ids.hpp"
+#include "base/ids.hpp"
 
 #include <cereal/types/string.hpp>
 #include <cereal/types/vector.hpp>
--- a/src/raft_replication.cpp
+++ b/src/control/raft_replication.cpp
@@ -1,7 +1,7 @@
 // How a leader brings its log to the others, and what is committed.
-#include "codec.hpp"
-#include "invariant.hpp"
-#include "raft.hpp"
+#include "base/codec.hpp"
+#include "base/invariant.hpp"
+#include "control/raft.hpp"
 
 #include <algorithm>
 
--- a/src/raft_role.cpp
+++ b/src/control/raft_role.cpp
@@ -1,6 +1,6 @@
-#include "raft_role.hpp"
+#include "control/raft_role.hpp"
 
-#include "invariant.hpp"
+#include "base/invariant.hpp"
 
 #include <boost/msm/back/state_machine.hpp>
 #include <boost/msm/front/functor_row.hpp>
--- a/src/raft_store.cpp
+++ b/src/control/raft_store.cpp
@@ -1,6 +1,6 @@
-#include "raft_store.hpp"
+#include "control/raft_store.hpp"
 
-#include "codec.hpp"
+#include "base/codec.hpp"
 
 #include <filesystem>
 #include <functional>
--- a/src/raft_store.hpp
+++ b/src/control/raft_store.hpp
@@ -2,8 +2,8 @@
 /// Defines raft_store, a replica's log, vote and snapshot in its data folder.
 #pragma once
 
-#include "raft.hpp"
-#include "record_file.hpp"
+#include "control/raft.hpp"
+#include "control/record_file.hpp"
 
 #include <memory>
 
--- a/src/record_file.cpp
+++ b/src/control/record_file.cpp
@@ -1,4 +1,4 @@
-#include "record_file.hpp"
+#include "control/record_file.hpp"
 
 #include <cerrno>
 #include <cstring>
--- a/src/record_file.hpp
+++ b/src/control/record_file.hpp
@@ -2,7 +2,7 @@
 /// Defines record_file, an append-only file of checksummed records that is synced on request.
 #pragma once
 
-#include "error.hpp"
+#include "base/error.hpp"
 
 #include <cstdint>
 #include <string>
--- a/src/recorder.cpp
+++ b/src/control/recorder.cpp
@@ -1,6 +1,6 @@
-#include "recorder.hpp"
+#include "control/recorder.hpp"
 
-#include "codec.hpp"
+#include "base/codec.hpp"
 
 namespace guavashed
 {
--- a/src/recorder.hpp
+++ b/src/control/recorder.hpp
@@ -2,9 +2,9 @@
 /// Defines recorder, which lets a control host's claim book answer only after its disk has.
 #pragma once
 
-#include "claim_book.hpp"
-#include "record_file.hpp"
-#include "storage_duty.hpp"
+#include "control/claim_book.hpp"
+#include "control/record_file.hpp"
+#include "control/storage_duty.hpp"
 
 #include <functional>
 #include <vector>
--- a/src/replica_driver.cpp
+++ b/src/control/replica_driver.cpp
@@ -1,8 +1,8 @@
-#include "replica_driver.hpp"
+#include "control/replica_driver.hpp"
 
-#include "codec.hpp"
-#include "invariant.hpp"
-#include "log.hpp"
+#include "base/codec.hpp"
+#include "base/invariant.hpp"
+#include "base/log.hpp"
 
 namespace guavashed
 {
--- a/src/replica_driver.hpp
+++ b/src/control/replica_driver.hpp
@@ -2,8 +2,8 @@
 /// Defines replica_driver, which carries a replica's batches to its disk, its peers and its state.
 #pragma once
 
-#include "raft.hpp"
-#include "storage_duty.hpp"
+#include "control/raft.hpp"
+#include "control/storage_duty.hpp"
 
 #include <functional>
 #include <memory>
--- a/src/shift_controller.cpp
+++ b/src/control/shift_controller.cpp
@@ -1,4 +1,4 @@
-#include "shift_controller.hpp"
+#include "control/shift_controller.hpp"
 
 #include <algorithm>
 
--- a/src/shift_controller.hpp
+++ b/src/control/shift_controller.hpp
@@ -2,8 +2,8 @@
 /// Defines shift_controller, which moves a shift of callers step by step and stops it by itself.
 #pragma once
 
-#include "configuration.hpp"
-#include "instant.hpp"
+#include "base/instant.hpp"
+#include "control/configuration.hpp"
 
 #include <map>
 #include <optional>
--- a/src/storage_duty.cpp
+++ b/src/control/storage_duty.cpp
@@ -1,6 +1,6 @@
-#include "storage_duty.hpp"
+#include "control/storage_duty.hpp"
 
-#include "codec.hpp"
+#include "base/codec.hpp"
 
 #include <filesystem>
 
--- a/src/storage_duty.hpp
+++ b/src/control/storage_duty.hpp
@@ -2,9 +2,9 @@
 /// Defines storage_duty, the only thread that writes and syncs files.
 #pragma once
 
-#include "claim_book.hpp"
-#include "duty.hpp"
-#include "raft_store.hpp"
+#include "base/duty.hpp"
+#include "control/claim_book.hpp"
+#include "control/raft_store.hpp"
 
 #include <memory>
 #include <optional>
--- a/src/process_life.cpp
+++ b/src/daemon/process_life.cpp
@@ -1,4 +1,4 @@
-#include "process_life.hpp"
+#include "daemon/process_life.hpp"
 
 #include <boost/msm/back/state_machine.hpp>
 #include <boost/msm/front/functor_row.hpp>
--- a/src/settings.cpp
+++ b/src/daemon/settings.cpp
@@ -1,7 +1,7 @@
-#include "settings.hpp"
+#include "daemon/settings.hpp"
 
-#include "endpoint.hpp"
-#include "fleet_view.hpp"
+#include "base/endpoint.hpp"
+#include "entry/fleet_view.hpp"
 
 #include <algorithm>
 #include <charconv>
--- a/src/settings.hpp
+++ b/src/daemon/settings.hpp
@@ -2,9 +2,9 @@
 /// Defines the daemon's settings, read from flags and environment variables and checked.
 #pragma once
 
-#include "entry_core.hpp"
-#include "error.hpp"
-#include "ids.hpp"
+#include "base/error.hpp"
+#include "base/ids.hpp"
+#include "entry/entry_core.hpp"
 
 #include <string>
 #include <vector>
--- a/src/admission_queue.cpp
+++ b/src/entry/admission_queue.cpp
@@ -1,6 +1,6 @@
-#include "admission_queue.hpp"
+#include "entry/admission_queue.hpp"
 
-#include "invariant.hpp"
+#include "base/invariant.hpp"
 
 #include <algorithm>
 
--- a/src/admission_queue.hpp
+++ b/src/entry/admission_queue.hpp
@@ -2,8 +2,8 @@
 /// Defines admission_queue, which decides what of one service waits, runs next or is refused.
 #pragma once
 
-#include "ids.hpp"
-#include "instant.hpp"
+#include "base/ids.hpp"
+#include "base/instant.hpp"
 
 #include <array>
 #include <cstddef>
--- a/src/choose_forward.cpp
+++ b/src/entry/choose_forward.cpp
@@ -1,4 +1,4 @@
-#include "choose_forward.hpp"
+#include "entry/choose_forward.hpp"
 
 #include <algorithm>
 #include <array>
--- a/src/choose_forward.hpp
+++ b/src/entry/choose_forward.hpp
@@ -2,8 +2,8 @@
 /// Defines choose_forward, which decides whether another entry host would run a request sooner.
 #pragma once
 
-#include "fleet_view.hpp"
-#include "instant.hpp"
+#include "base/instant.hpp"
+#include "entry/fleet_view.hpp"
 
 #include <functional>
 
--- a/src/choose_home.cpp
+++ b/src/entry/choose_home.cpp
@@ -1,4 +1,4 @@
-#include "choose_home.hpp"
+#include "entry/choose_home.hpp"
 
 #include <algorithm>
 
--- a/src/choose_home.hpp
+++ b/src/entry/choose_home.hpp
@@ -2,7 +2,7 @@
 /// Defines choose_home, which decides which entry host an upstream should announce itself to.
 #pragma once
 
-#include "fleet_view.hpp"
+#include "entry/fleet_view.hpp"
 
 #include <cstdint>
 
--- a/src/claim_round.cpp
+++ b/src/entry/claim_round.cpp
@@ -1,4 +1,4 @@
-#include "claim_round.hpp"
+#include "entry/claim_round.hpp"
 
 #include <algorithm>
 
--- a/src/claim_round.hpp
+++ b/src/entry/claim_round.hpp
@@ -2,8 +2,8 @@
 /// Defines claim_round, an entry host's count of the recorders' votes on one key.
 #pragma once
 
-#include "claim_book.hpp"
-#include "ids.hpp"
+#include "base/ids.hpp"
+#include "control/claim_book.hpp"
 
 #include <optional>
 #include <vector>
--- a/src/dispatch_order.cpp
+++ b/src/entry/dispatch_order.cpp
@@ -1,4 +1,4 @@
-#include "admission_queue.hpp"
+#include "entry/admission_queue.hpp"
 
 #include <algorithm>
 
--- a/src/entry_actions.cpp
+++ b/src/entry/entry_actions.cpp
@@ -1,7 +1,7 @@
 // Carries out what the entry core decided.
-#include "codec.hpp"
-#include "entry_node.hpp"
-#include "log.hpp"
+#include "base/codec.hpp"
+#include "base/log.hpp"
+#include "entry/entry_node.hpp"
 
 #include <algorithm>
 
--- a/src/entry_core.cpp
+++ b/src/entry/entry_core.cpp
@@ -1,7 +1,7 @@
-#include "entry_core.hpp"
+#include "entry/entry_core.hpp"
 
-#include "choose_home.hpp"
-#include "invariant.hpp"
+#include "base/invariant.hpp"
+#include "entry/choose_home.hpp"
 
 #include <algorithm>
 
--- a/src/entry_core.hpp
+++ b/src/entry/entry_core.hpp
@@ -5,16 +5,16 @@
 /// it and assert its invariants.
 #pragma once
 
-#include "admission_queue.hpp"
-#include "burn_ledger.hpp"
-#include "choose_forward.hpp"
-#include "entry_messages.hpp"
-#include "fleet_view.hpp"
-#include "journal.hpp"
-#include "retry_budget.hpp"
-#include "share_meter.hpp"
-#include "ticket.hpp"
-#include "upstream_pool.hpp"
+#include "base/journal.hpp"
+#include "entry/admission_queue.hpp"
+#include "entry/choose_forward.hpp"
+#include "entry/entry_messages.hpp"
+#include "entry/fleet_view.hpp"
+#include "entry/retry_budget.hpp"
+#include "entry/share_meter.hpp"
+#include "entry/ticket.hpp"
+#include "entry/upstream_pool.hpp"
+#include "reports/burn_ledger.hpp"
 
 #include <deque>
 #include <memory>
--- a/src/entry_deadlines.cpp
+++ b/src/entry/entry_deadlines.cpp
@@ -1,5 +1,5 @@
 // What happens at an entry host because time has passed.
-#include "entry_core.hpp"
+#include "entry/entry_core.hpp"
 
 namespace guavashed
 {
--- a/src/entry_front.cpp
+++ b/src/entry/entry_front.cpp
@@ -1,8 +1,8 @@
-#include "entry_front.hpp"
+#include "entry/entry_front.hpp"
 
-#include "endpoint.hpp"
-#include "operator_port.hpp"
-#include "ticket.hpp"
+#include "base/endpoint.hpp"
+#include "entry/ticket.hpp"
+#include "transport/operator_port.hpp"
 
 #include <boost/json.hpp>
 #include <charconv>
--- a/src/entry_front.hpp
+++ b/src/entry/entry_front.hpp
@@ -2,11 +2,11 @@
 /// Defines entry_front, the port where callers look up, callers call and upstreams announce.
 #pragma once
 
-#include "entry_messages.hpp"
-#include "http_server.hpp"
-#include "settings.hpp"
-#include "steering_table.hpp"
-#include "upstream_pool.hpp"
+#include "daemon/settings.hpp"
+#include "entry/entry_messages.hpp"
+#include "entry/steering_table.hpp"
+#include "entry/upstream_pool.hpp"
+#include "transport/http_server.hpp"
 
 #include <atomic>
 #include <memory>
--- a/src/entry_messages.hpp
+++ b/src/entry/entry_messages.hpp
@@ -2,10 +2,10 @@
 /// Defines what goes into and comes out of entry_core, the decisions of an entry host.
 #pragma once
 
-#include "claim_book.hpp"
-#include "claim_round.hpp"
-#include "fleet_messages.hpp"
-#include "instant.hpp"
+#include "base/instant.hpp"
+#include "control/claim_book.hpp"
+#include "control/fleet_messages.hpp"
+#include "entry/claim_round.hpp"
 
 #include <string>
 #include <variant>
--- a/src/entry_node.cpp
+++ b/src/entry/entry_node.cpp
@@ -1,7 +1,7 @@
-#include "entry_node.hpp"
+#include "entry/entry_node.hpp"
 
-#include "codec.hpp"
-#include "log.hpp"
+#include "base/codec.hpp"
+#include "base/log.hpp"
 
 #include <algorithm>
 #include <boost/json.hpp>
--- a/src/entry_node.hpp
+++ b/src/entry/entry_node.hpp
@@ -2,13 +2,13 @@
 /// Defines entry_node, the entry role: joins the decisions with the duties that do I/O.
 #pragma once
 
-#include "entry_core.hpp"
-#include "entry_front.hpp"
-#include "latency_meter.hpp"
-#include "operator_port.hpp"
-#include "peer_hub.hpp"
-#include "ticker.hpp"
-#include "upstream_sender.hpp"
+#include "base/latency_meter.hpp"
+#include "base/ticker.hpp"
+#include "entry/entry_core.hpp"
+#include "entry/entry_front.hpp"
+#include "entry/peer_hub.hpp"
+#include "entry/upstream_sender.hpp"
+#include "transport/operator_port.hpp"
 
 #include <memory>
 #include <optional>
--- a/src/entry_operator.cpp
+++ b/src/entry/entry_operator.cpp
@@ -1,5 +1,5 @@
 // What an entry host answers to operators.
-#include "entry_node.hpp"
+#include "entry/entry_node.hpp"
 
 #include <boost/json.hpp>
 #include <sstream>
--- a/src/entry_outcomes.cpp
+++ b/src/entry/entry_outcomes.cpp
@@ -1,6 +1,6 @@
 // What becomes of requests: attempts that end, answers, refusals.
-#include "entry_core.hpp"
-#include "invariant.hpp"
+#include "base/invariant.hpp"
+#include "entry/entry_core.hpp"
 
 #include <algorithm>
 
--- a/src/entry_state.cpp
+++ b/src/entry/entry_state.cpp
@@ -1,6 +1,6 @@
 // What an entry host takes from control hosts, and what it tells them.
-#include "entry_core.hpp"
-#include "invariant.hpp"
+#include "base/invariant.hpp"
+#include "entry/entry_core.hpp"
 
 #include <algorithm>
 
--- a/src/entry_upstreams.cpp
+++ b/src/entry/entry_upstreams.cpp
@@ -1,6 +1,6 @@
 // Which upstreams are homed at this host, and how they come and go.
-#include "choose_home.hpp"
-#include "entry_core.hpp"
+#include "entry/choose_home.hpp"
+#include "entry/entry_core.hpp"
 
 #include <algorithm>
 
--- a/src/fleet_view.cpp
+++ b/src/entry/fleet_view.cpp
@@ -1,4 +1,4 @@
-#include "fleet_view.hpp"
+#include "entry/fleet_view.hpp"
 
 #include <algorithm>
 #include <xxhash.h>
--- a/src/fleet_view.hpp
+++ b/src/entry/fleet_view.hpp
@@ -2,8 +2,8 @@
 /// Defines fleet_view, an entry host's picture of the other entry hosts.
 #pragma once
 
-#include "fleet_messages.hpp"
-#include "instant.hpp"
+#include "base/instant.hpp"
+#include "control/fleet_messages.hpp"
 
 #include <vector>
 
--- a/src/peer_hub.cpp
+++ b/src/entry/peer_hub.cpp
@@ -1,8 +1,8 @@
-#include "peer_hub.hpp"
+#include "entry/peer_hub.hpp"
 
-#include "codec.hpp"
-#include "fleet_view.hpp"
-#include "log.hpp"
+#include "base/codec.hpp"
+#include "base/log.hpp"
+#include "entry/fleet_view.hpp"
 
 #include <algorithm>
 
--- a/src/peer_hub.hpp
+++ b/src/entry/peer_hub.hpp
@@ -2,12 +2,12 @@
 /// Defines peer_hub, an entry host's duty for sessions with control hosts and other entry hosts.
 #pragma once
 
-#include "claim_round.hpp"
-#include "duty.hpp"
-#include "entry_messages.hpp"
-#include "frame_link.hpp"
-#include "settings.hpp"
-#include "ticker.hpp"
+#include "base/duty.hpp"
+#include "base/ticker.hpp"
+#include "daemon/settings.hpp"
+#include "entry/claim_round.hpp"
+#include "entry/entry_messages.hpp"
+#include "transport/frame_link.hpp"
 
 #include <map>
 #include <memory>
--- a/src/retry_budget.hpp
+++ b/src/entry/retry_budget.hpp
@@ -2,7 +2,7 @@
 /// Defines retry_budget, which lets retries be a fraction of first tries and no more.
 #pragma once
 
-#include "ids.hpp"
+#include "base/ids.hpp"
 
 namespace guavashed
 {
--- a/src/share_meter.cpp
+++ b/src/entry/share_meter.cpp
@@ -1,6 +1,6 @@
-#include "share_meter.hpp"
+#include "entry/share_meter.hpp"
 
-#include "invariant.hpp"
+#include "base/invariant.hpp"
 
 #include <algorithm>
 
--- a/src/share_meter.hpp
+++ b/src/entry/share_meter.hpp
@@ -6,8 +6,8 @@
 /// each host keeps to its own share without hearing from the others.
 #pragma once
 
-#include "ids.hpp"
-#include "instant.hpp"
+#include "base/ids.hpp"
+#include "base/instant.hpp"
 
 namespace guavashed
 {
--- a/src/steering_table.cpp
+++ b/src/entry/steering_table.cpp
@@ -1,6 +1,6 @@
-#include "steering_table.hpp"
+#include "entry/steering_table.hpp"
 
-#include "invariant.hpp"
+#include "base/invariant.hpp"
 
 #include <algorithm>
 
--- a/src/steering_table.hpp
+++ b/src/entry/steering_table.hpp
@@ -5,9 +5,9 @@
 /// four site numbers, best first. Words are replaced in place while look-ups go on.
 #pragma once
 
-#include "configuration.hpp"
-#include "fleet_view.hpp"
-#include "ids.hpp"
+#include "base/ids.hpp"
+#include "control/configuration.hpp"
+#include "entry/fleet_view.hpp"
 
 #include <array>
 #include <atomic>
--- a/src/ticket.cpp
+++ b/src/entry/ticket.cpp
@@ -1,4 +1,4 @@
-#include "ticket.hpp"
+#include "entry/ticket.hpp"
 
 #include <charconv>
 #include <set>
--- a/src/ticket.hpp
+++ b/src/entry/ticket.hpp
@@ -2,9 +2,9 @@
 /// Defines ticket, the part of an idempotency key that the system issues and later finds again.
 #pragma once
 
-#include "error.hpp"
-#include "ids.hpp"
-#include "instant.hpp"
+#include "base/error.hpp"
+#include "base/ids.hpp"
+#include "base/instant.hpp"
 
 #include <string>
 #include <vector>
--- a/src/upstream_pool.cpp
+++ b/src/entry/upstream_pool.cpp
@@ -1,6 +1,6 @@
-#include "upstream_pool.hpp"
+#include "entry/upstream_pool.hpp"
 
-#include "invariant.hpp"
+#include "base/invariant.hpp"
 
 #include <algorithm>
 #include <cmath>
--- a/src/upstream_pool.hpp
+++ b/src/entry/upstream_pool.hpp
@@ -5,9 +5,9 @@
 /// home sends work to it, so the home knows its slots exactly and no two hosts can overrun them.
 #pragma once
 
-#include "chart.hpp"
-#include "ids.hpp"
-#include "instant.hpp"
+#include "base/chart.hpp"
+#include "base/ids.hpp"
+#include "base/instant.hpp"
 
 #include <functional>
 #include <optional>
--- a/src/upstream_sender.cpp
+++ b/src/entry/upstream_sender.cpp
@@ -1,4 +1,4 @@
-#include "upstream_sender.hpp"
+#include "entry/upstream_sender.hpp"
 
 namespace guavashed
 {
--- a/src/upstream_sender.hpp
+++ b/src/entry/upstream_sender.hpp
@@ -2,9 +2,9 @@
 /// Defines upstream_sender, the duty that carries work to upstreams and checks their answers.
 #pragma once
 
-#include "duty.hpp"
-#include "entry_messages.hpp"
-#include "http_client.hpp"
+#include "base/duty.hpp"
+#include "entry/entry_messages.hpp"
+#include "transport/http_client.hpp"
 
 #include <unordered_map>
 #include <variant>
--- a/src/fleet/call_protocol.hpp
+++ b/src/fleet/call_protocol.hpp
@@ -2,9 +2,9 @@
 /// Defines call_protocol, how callers' requests and upstreams' answers are read and written.
 #pragma once
 
-#include "http_message.hpp"
-#include "ids.hpp"
+#include "base/ids.hpp"
 #include "routing/upstream_board.hpp"
+#include "transport/http_message.hpp"
 
 #include <optional>
 #include <string>
--- a/src/fleet/fleet_register.cpp
+++ b/src/fleet/fleet_register.cpp
@@ -1,7 +1,7 @@
 #include "fleet/fleet_register.hpp"
 
-#include "codec.hpp"
-#include "invariant.hpp"
+#include "base/codec.hpp"
+#include "base/invariant.hpp"
 
 #include <algorithm>
 
--- a/src/fleet/fleet_register.hpp
+++ b/src/fleet/fleet_register.hpp
@@ -2,9 +2,9 @@
 /// Defines fleet_register, the replicated state of configuration, upstreams and evacuations.
 #pragma once
 
+#include "base/instant.hpp"
+#include "control/raft_messages.hpp"
 #include "fleet/register_command.hpp"
-#include "instant.hpp"
-#include "raft_messages.hpp"
 
 #include <cereal/types/deque.hpp>
 #include <cereal/types/map.hpp>
--- a/src/fleet/gateway_calls.cpp
+++ b/src/fleet/gateway_calls.cpp
@@ -1,7 +1,7 @@
 // What becomes of one caller's request.
+#include "base/invariant.hpp"
+#include "base/log.hpp"
 #include "fleet/gateway_node.hpp"
-#include "invariant.hpp"
-#include "log.hpp"
 
 #include <algorithm>
 
--- a/src/fleet/gateway_links.cpp
+++ b/src/fleet/gateway_links.cpp
@@ -1,7 +1,7 @@
 // An entry host's sessions with control hosts: which one brings the view, and what each is told.
-#include "codec.hpp"
+#include "base/codec.hpp"
+#include "base/log.hpp"
 #include "fleet/gateway_node.hpp"
-#include "log.hpp"
 
 #include <algorithm>
 
--- a/src/fleet/gateway_node.hpp
+++ b/src/fleet/gateway_node.hpp
@@ -2,17 +2,17 @@
 /// Defines gateway_node, an entry host: it takes callers' requests and sends them to upstreams.
 #pragma once
 
+#include "base/ticker.hpp"
 #include "fleet/call_protocol.hpp"
 #include "fleet/view_messages.hpp"
-#include "frame_link.hpp"
-#include "http_client.hpp"
-#include "http_server.hpp"
 #include "routing/attempt_policy.hpp"
 #include "routing/link_budget.hpp"
 #include "routing/retry_allowance.hpp"
 #include "routing/route_table.hpp"
 #include "routing/upstream_board.hpp"
-#include "ticker.hpp"
+#include "transport/frame_link.hpp"
+#include "transport/http_client.hpp"
+#include "transport/http_server.hpp"
 
 #include <array>
 #include <map>
--- a/src/fleet/group_mender.hpp
+++ b/src/fleet/group_mender.hpp
@@ -2,9 +2,9 @@
 /// Defines group_mender, which decides who joins, leaves and votes in the control group.
 #pragma once
 
+#include "base/instant.hpp"
+#include "control/raft.hpp"
 #include "fleet/view_messages.hpp"
-#include "instant.hpp"
-#include "raft.hpp"
 
 #include <map>
 #include <optional>
--- a/src/fleet/registry_entries.cpp
+++ b/src/fleet/registry_entries.cpp
@@ -1,7 +1,7 @@
 // How control hosts tell entry hosts what has changed.
-#include "codec.hpp"
+#include "base/codec.hpp"
+#include "base/log.hpp"
 #include "fleet/registry_node.hpp"
-#include "log.hpp"
 #include "routing/placement.hpp"
 
 #include <algorithm>
--- a/src/fleet/registry_group.cpp
+++ b/src/fleet/registry_group.cpp
@@ -1,7 +1,7 @@
 // How control hosts find each other, found the group, and take in new hosts and disks.
-#include "codec.hpp"
+#include "base/codec.hpp"
+#include "base/log.hpp"
 #include "fleet/registry_node.hpp"
-#include "log.hpp"
 
 #include <algorithm>
 
--- a/src/fleet/registry_node.cpp
+++ b/src/fleet/registry_node.cpp
@@ -1,9 +1,9 @@
 #include "fleet/registry_node.hpp"
 
-#include "codec.hpp"
+#include "base/codec.hpp"
+#include "base/invariant.hpp"
+#include "base/log.hpp"
 #include "fleet/registry_port.hpp"
-#include "invariant.hpp"
-#include "log.hpp"
 
 #include <algorithm>
 #include <future>
--- a/src/fleet/registry_node.hpp
+++ b/src/fleet/registry_node.hpp
@@ -2,15 +2,15 @@
 /// Defines registry_node, a control host: one replica of the fleet register, and its ports.
 #pragma once
 
+#include "base/ticker.hpp"
+#include "control/replica_driver.hpp"
 #include "fleet/fleet_register.hpp"
 #include "fleet/group_mender.hpp"
 #include "fleet/registry_protocol.hpp"
 #include "fleet/view_feed.hpp"
 #include "fleet/view_messages.hpp"
-#include "frame_link.hpp"
-#include "http_server.hpp"
-#include "replica_driver.hpp"
-#include "ticker.hpp"
+#include "transport/frame_link.hpp"
+#include "transport/http_server.hpp"
 
 #include <functional>
 #include <map>
--- a/src/fleet/registry_orders.cpp
+++ b/src/fleet/registry_orders.cpp
@@ -1,9 +1,9 @@
 // What control hosts answer to upstreams, operators and look-ups.
-#include "codec.hpp"
+#include "base/codec.hpp"
+#include "base/log.hpp"
 #include "fleet/registry_node.hpp"
-#include "log.hpp"
-#include "operator_port.hpp"
 #include "routing/entry_choice.hpp"
+#include "transport/operator_port.hpp"
 
 #include <algorithm>
 
--- a/src/fleet/registry_protocol.hpp
+++ b/src/fleet/registry_protocol.hpp
@@ -3,7 +3,7 @@
 #pragma once
 
 #include "fleet/register_command.hpp"
-#include "http_message.hpp"
+#include "transport/http_message.hpp"
 
 #include <string>
 #include <variant>
--- a/src/fleet/view_feed.cpp
+++ b/src/fleet/view_feed.cpp
@@ -1,6 +1,6 @@
 #include "fleet/view_feed.hpp"
 
-#include "invariant.hpp"
+#include "base/invariant.hpp"
 
 #include <algorithm>
 
--- a/src/fleet/view_feed.hpp
+++ b/src/fleet/view_feed.hpp
@@ -2,7 +2,7 @@
 /// Defines view_feed, which decides when a control host pushes changes to an entry host.
 #pragma once
 
-#include "instant.hpp"
+#include "base/instant.hpp"
 
 #include <cstdint>
 #include <deque>
--- a/src/burn_ledger.cpp
+++ b/src/reports/burn_ledger.cpp
@@ -1,4 +1,4 @@
-#include "burn_ledger.hpp"
+#include "reports/burn_ledger.hpp"
 
 #include <algorithm>
 
--- a/src/burn_ledger.hpp
+++ b/src/reports/burn_ledger.hpp
@@ -2,9 +2,9 @@
 /// Defines burn_ledger, counts of work by kind and minute from which burn reports are made.
 #pragma once
 
-#include "fleet_messages.hpp"
-#include "ids.hpp"
-#include "instant.hpp"
+#include "base/ids.hpp"
+#include "base/instant.hpp"
+#include "control/fleet_messages.hpp"
 
 #include <array>
 #include <cereal/types/array.hpp>
--- a/src/burn_report.cpp
+++ b/src/reports/burn_report.cpp
@@ -1,4 +1,4 @@
-#include "burn_report.hpp"
+#include "reports/burn_report.hpp"
 
 #include <algorithm>
 #include <boost/json.hpp>
--- a/src/burn_report.hpp
+++ b/src/reports/burn_report.hpp
@@ -2,8 +2,8 @@
 /// Defines burn_report, what was spent of each service-level objective over several windows.
 #pragma once
 
-#include "burn_ledger.hpp"
-#include "configuration.hpp"
+#include "control/configuration.hpp"
+#include "reports/burn_ledger.hpp"
 
 #include <string>
 #include <vector>
--- a/src/routing/entry_choice.hpp
+++ b/src/routing/entry_choice.hpp
@@ -2,7 +2,7 @@
 /// Defines choose_entries, which entry hosts the callers of a failure domain are sent to.
 #pragma once
 
-#include "ids.hpp"
+#include "base/ids.hpp"
 
 #include <cstddef>
 #include <vector>
--- a/src/routing/link_budget.hpp
+++ b/src/routing/link_budget.hpp
@@ -2,7 +2,7 @@
 /// Defines link_budget, which keeps a thin link from being asked for more than it carries.
 #pragma once
 
-#include "instant.hpp"
+#include "base/instant.hpp"
 
 #include <cstdint>
 #include <map>
--- a/src/routing/placement.hpp
+++ b/src/routing/placement.hpp
@@ -2,7 +2,7 @@
 /// Defines placement, which spreads objects over the upstreams of a service.
 #pragma once
 
-#include "ids.hpp"
+#include "base/ids.hpp"
 
 #include <cstdint>
 #include <string_view>
--- a/src/routing/route_config.hpp
+++ b/src/routing/route_config.hpp
@@ -2,8 +2,8 @@
 /// Defines routing_config: which requests go to which service, how often, and for how long.
 #pragma once
 
-#include "error.hpp"
-#include "ids.hpp"
+#include "base/error.hpp"
+#include "base/ids.hpp"
 
 #include <cereal/types/string.hpp>
 #include <cereal/types/vector.hpp>
--- a/src/routing/route_table.cpp
+++ b/src/routing/route_table.cpp
@@ -1,6 +1,6 @@
 #include "routing/route_table.hpp"
 
-#include "invariant.hpp"
+#include "base/invariant.hpp"
 
 #include <algorithm>
 
--- a/src/routing/upstream_board.cpp
+++ b/src/routing/upstream_board.cpp
@@ -1,6 +1,6 @@
 #include "routing/upstream_board.hpp"
 
-#include "invariant.hpp"
+#include "base/invariant.hpp"
 
 #include <algorithm>
 #include <xxhash.h>
--- a/src/routing/upstream_board.hpp
+++ b/src/routing/upstream_board.hpp
@@ -2,8 +2,8 @@
 /// Defines upstream_board, what an entry host believes of each upstream, and whom it picks.
 #pragma once
 
+#include "base/instant.hpp"
 #include "fleet/view_messages.hpp"
-#include "instant.hpp"
 #include "routing/attempt_policy.hpp"
 #include "routing/placement.hpp"
 #include "routing/route_config.hpp"
--- a/src/routing/upstream_learning.cpp
+++ b/src/routing/upstream_learning.cpp
@@ -1,5 +1,5 @@
 // What an entry host learns of upstreams from how attempts end.
-#include "log.hpp"
+#include "base/log.hpp"
 #include "routing/upstream_board.hpp"
 
 #include <algorithm>
--- a/src/routing/upstream_row.hpp
+++ b/src/routing/upstream_row.hpp
@@ -2,7 +2,7 @@
 /// Defines upstream_row, what an upstream announced of itself.
 #pragma once
 
-#include "ids.hpp"
+#include "base/ids.hpp"
 
 #include <cereal/types/string.hpp>
 
--- a/src/frame_link.cpp
+++ b/src/transport/frame_link.cpp
@@ -1,8 +1,8 @@
-#include "frame_link.hpp"
+#include "transport/frame_link.hpp"
 
-#include "duty.hpp"
-#include "endpoint.hpp"
-#include "tcp_session.hpp"
+#include "base/duty.hpp"
+#include "base/endpoint.hpp"
+#include "transport/tcp_session.hpp"
 
 #include <boost/asio/steady_timer.hpp>
 #include <random>
--- a/src/frame_link.hpp
+++ b/src/transport/frame_link.hpp
@@ -2,9 +2,9 @@
 /// Defines the framed TCP sessions between our processes: length, checksum, type, cereal payload.
 #pragma once
 
-#include "duty.hpp"
-#include "error.hpp"
-#include "ids.hpp"
+#include "base/duty.hpp"
+#include "base/error.hpp"
+#include "base/ids.hpp"
 
 #include <chrono>
 #include <memory>
--- a/src/frame_wire.cpp
+++ b/src/transport/frame_wire.cpp
@@ -1,6 +1,6 @@
-#include "frame_wire.hpp"
+#include "transport/frame_wire.hpp"
 
-#include "invariant.hpp"
+#include "base/invariant.hpp"
 
 #include <cstring>
 #include <xxhash.h>
--- a/src/frame_wire.hpp
+++ b/src/transport/frame_wire.hpp
@@ -3,7 +3,7 @@
 /// compressed where that pays.
 #pragma once
 
-#include "frame_link.hpp"
+#include "transport/frame_link.hpp"
 
 #include <cstdint>
 #include <optional>
--- a/src/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -1,6 +1,6 @@
-#include "http_client.hpp"
+#include "transport/http_client.hpp"
 
-#include "endpoint.hpp"
+#include "base/endpoint.hpp"
 
 #include <algorithm>
 #include <boost/beast/core.hpp>
--- a/src/http_client.hpp
+++ b/src/transport/http_client.hpp
@@ -2,11 +2,11 @@
 /// Defines http_client, which sends a request to one endpoint and tells how far it got.
 #pragma once
 
-#include "duty.hpp"
-#include "error.hpp"
-#include "http_message.hpp"
-#include "ids.hpp"
-#include "instant.hpp"
+#include "base/duty.hpp"
+#include "base/error.hpp"
+#include "base/ids.hpp"
+#include "base/instant.hpp"
+#include "transport/http_message.hpp"
 
 #include <functional>
 #include <memory>
--- a/src/http_message.cpp
+++ b/src/transport/http_message.cpp
@@ -1,4 +1,4 @@
-#include "http_message.hpp"
+#include "transport/http_message.hpp"
 
 #include <boost/algorithm/string/predicate.hpp>
 #include <charconv>
--- a/src/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -1,6 +1,6 @@
-#include "http_server.hpp"
+#include "transport/http_server.hpp"
 
-#include "endpoint.hpp"
+#include "base/endpoint.hpp"
 
 #include <boost/asio/dispatch.hpp>
 #include <boost/asio/post.hpp>
--- a/src/http_server.hpp
+++ b/src/transport/http_server.hpp
@@ -2,10 +2,10 @@
 /// Defines http_server, which hands each HTTP/1.1 request to a handler and sends its one answer.
 #pragma once
 
-#include "duty.hpp"
-#include "error.hpp"
-#include "http_message.hpp"
-#include "ids.hpp"
+#include "base/duty.hpp"
+#include "base/error.hpp"
+#include "base/ids.hpp"
+#include "transport/http_message.hpp"
 
 #include <atomic>
 #include <chrono>
--- a/src/operator_client.cpp
+++ b/src/transport/operator_client.cpp
@@ -1,4 +1,4 @@
-#include "operator_client.hpp"
+#include "transport/operator_client.hpp"
 
 #include <boost/json.hpp>
 #include <future>
--- a/src/operator_client.hpp
+++ b/src/transport/operator_client.hpp
@@ -2,8 +2,8 @@
 /// Defines operator_client, blocking calls of a tool to the operators' ports.
 #pragma once
 
-#include "duty.hpp"
-#include "http_client.hpp"
+#include "base/duty.hpp"
+#include "transport/http_client.hpp"
 
 #include <memory>
 #include <string>
--- a/src/operator_port.cpp
+++ b/src/transport/operator_port.cpp
@@ -1,6 +1,6 @@
-#include "operator_port.hpp"
+#include "transport/operator_port.hpp"
 
-#include "frame_link.hpp"
+#include "transport/frame_link.hpp"
 
 #include <boost/json.hpp>
 
--- a/src/operator_port.hpp
+++ b/src/transport/operator_port.hpp
@@ -2,7 +2,7 @@
 /// Defines operator_port, the HTTP port for operators, metrics collectors and health checks.
 #pragma once
 
-#include "http_server.hpp"
+#include "transport/http_server.hpp"
 
 #include <functional>
 #include <string>
--- a/src/tcp_session.cpp
+++ b/src/transport/tcp_session.cpp
@@ -1,4 +1,4 @@
-#include "tcp_session.hpp"
+#include "transport/tcp_session.hpp"
 
 #include <boost/asio/post.hpp>
 #include <boost/asio/read.hpp>
--- a/src/tcp_session.hpp
+++ b/src/transport/tcp_session.hpp
@@ -2,8 +2,8 @@
 /// Defines tcp_session, a frame_session over one TCP connection.
 #pragma once
 
-#include "frame_wire.hpp"
-#include "instant.hpp"
+#include "base/instant.hpp"
+#include "transport/frame_wire.hpp"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
--- a/standin/caller.cpp
+++ b/standin/caller.cpp
@@ -2,7 +2,7 @@
 /// A stand-in for many callers: looks entry hosts up, caches the answer, sends work at given rates,
 /// resends what must land once with the same key, and checks every answer.
 #include "arguments.hpp"
-#include "http_client.hpp"
+#include "transport/http_client.hpp"
 
 #include <algorithm>
 #include <boost/asio/steady_timer.hpp>
--- a/standin/platform_caller.hpp
+++ b/standin/platform_caller.hpp
@@ -2,8 +2,8 @@
 /// Defines platform_caller, a stand-in for the callers of the users' platform.
 #pragma once
 
-#include "duty.hpp"
-#include "http_client.hpp"
+#include "base/duty.hpp"
+#include "transport/http_client.hpp"
 
 #include <boost/asio/steady_timer.hpp>
 #include <map>
--- a/standin/platform_upstream.hpp
+++ b/standin/platform_upstream.hpp
@@ -2,9 +2,9 @@
 /// Defines platform_upstream, a stand-in upstream that speaks the users' platform's protocol.
 #pragma once
 
-#include "duty.hpp"
-#include "http_client.hpp"
-#include "http_server.hpp"
+#include "base/duty.hpp"
+#include "transport/http_client.hpp"
+#include "transport/http_server.hpp"
 
 #include <boost/asio/steady_timer.hpp>
 #include <deque>
--- a/standin/upstream.hpp
+++ b/standin/upstream.hpp
@@ -3,8 +3,8 @@
 /// shedding, cancellation, deadlines, and a ledger of what ran.
 #pragma once
 
-#include "http_client.hpp"
-#include "http_server.hpp"
+#include "transport/http_client.hpp"
+#include "transport/http_server.hpp"
 
 #include <boost/asio/steady_timer.hpp>
 #include <fstream>
--- a/test/correctness/admission_queue_test.cpp
+++ b/test/correctness/admission_queue_test.cpp
@@ -1,4 +1,4 @@
-#include "admission_queue.hpp"
+#include "entry/admission_queue.hpp"
 #include "support.hpp"
 
 #include <catch2/catch.hpp>
--- a/test/correctness/claim_test.cpp
+++ b/test/correctness/claim_test.cpp
@@ -1,6 +1,6 @@
-#include "claim_book.hpp"
-#include "claim_round.hpp"
-#include "ticket.hpp"
+#include "control/claim_book.hpp"
+#include "entry/claim_round.hpp"
+#include "entry/ticket.hpp"
 
 #include <catch2/catch.hpp>
 #include <map>
--- a/test/correctness/concurrency/steering_table_test.cpp
+++ b/test/correctness/concurrency/steering_table_test.cpp
@@ -1,4 +1,4 @@
-#include "steering_table.hpp"
+#include "entry/steering_table.hpp"
 
 #include <catch2/catch.hpp>
 #include <set>
--- a/test/correctness/control_state_test.cpp
+++ b/test/correctness/control_state_test.cpp
@@ -1,4 +1,4 @@
-#include "control_state.hpp"
+#include "control/control_state.hpp"
 
 #include <catch2/catch.hpp>
 #include <map>
--- a/test/correctness/entry_core_test.cpp
+++ b/test/correctness/entry_core_test.cpp
@@ -1,4 +1,4 @@
-#include "entry_core.hpp"
+#include "entry/entry_core.hpp"
 #include "support.hpp"
 
 #include <catch2/catch.hpp>
--- a/test/correctness/fleet_view_test.cpp
+++ b/test/correctness/fleet_view_test.cpp
@@ -1,6 +1,6 @@
-#include "choose_forward.hpp"
-#include "choose_home.hpp"
-#include "presence_table.hpp"
+#include "control/presence_table.hpp"
+#include "entry/choose_forward.hpp"
+#include "entry/choose_home.hpp"
 #include "support.hpp"
 
 #include <catch2/catch.hpp>
--- a/test/correctness/raft_group.cpp
+++ b/test/correctness/raft_group.cpp
@@ -1,6 +1,6 @@
 #include "raft_group.hpp"
 
-#include "codec.hpp"
+#include "base/codec.hpp"
 
 namespace guavashed
 {
--- a/test/correctness/raft_group.hpp
+++ b/test/correctness/raft_group.hpp
@@ -3,7 +3,7 @@
 /// or give in any order, with disks that a test may fail or lose.
 #pragma once
 
-#include "raft.hpp"
+#include "control/raft.hpp"
 #include "support.hpp"
 
 #include <map>
--- a/test/correctness/report_test.cpp
+++ b/test/correctness/report_test.cpp
@@ -1,6 +1,6 @@
-#include "burn_report.hpp"
-#include "share_meter.hpp"
-#include "shift_controller.hpp"
+#include "control/shift_controller.hpp"
+#include "entry/share_meter.hpp"
+#include "reports/burn_report.hpp"
 #include "support.hpp"
 
 #include <catch2/catch.hpp>
--- a/test/error/abandoned_call_test.cpp
+++ b/test/error/abandoned_call_test.cpp
@@ -1,5 +1,5 @@
-#include "http_client.hpp"
-#include "http_server.hpp"
+#include "transport/http_client.hpp"
+#include "transport/http_server.hpp"
 
 #include <catch2/catch.hpp>
 #include <future>
--- a/test/error/bad_input_test.cpp
+++ b/test/error/bad_input_test.cpp
@@ -1,10 +1,10 @@
-#include "codec.hpp"
-#include "configuration.hpp"
-#include "entry_front.hpp"
-#include "fleet_messages.hpp"
-#include "settings.hpp"
+#include "base/codec.hpp"
+#include "control/configuration.hpp"
+#include "control/fleet_messages.hpp"
+#include "daemon/settings.hpp"
+#include "entry/entry_front.hpp"
+#include "entry/ticket.hpp"
 #include "support.hpp"
-#include "ticket.hpp"
 
 #include <catch2/catch.hpp>
 #include <cstdlib>
--- a/test/error/frame_wire_test.cpp
+++ b/test/error/frame_wire_test.cpp
@@ -1,4 +1,4 @@
-#include "frame_wire.hpp"
+#include "transport/frame_wire.hpp"
 
 #include <catch2/catch.hpp>
 #include <cstring>
--- a/test/error/given_up_call_test.cpp
+++ b/test/error/given_up_call_test.cpp
@@ -1,5 +1,5 @@
-#include "duty.hpp"
-#include "http_client.hpp"
+#include "base/duty.hpp"
+#include "transport/http_client.hpp"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read_until.hpp>
--- a/test/error/open_port_test.cpp
+++ b/test/error/open_port_test.cpp
@@ -1,6 +1,6 @@
-#include "frame_wire.hpp"
-#include "http_client.hpp"
-#include "http_server.hpp"
+#include "transport/frame_wire.hpp"
+#include "transport/http_client.hpp"
+#include "transport/http_server.hpp"
 
 #include <boost/asio.hpp>
 #include <catch2/catch.hpp>
--- a/test/error/raft_store_test.cpp
+++ b/test/error/raft_store_test.cpp
@@ -1,4 +1,4 @@
-#include "raft_store.hpp"
+#include "control/raft_store.hpp"
 
 #include <catch2/catch.hpp>
 #include <filesystem>
--- a/test/error/record_file_test.cpp
+++ b/test/error/record_file_test.cpp
@@ -1,5 +1,5 @@
-#include "raft_store.hpp"
-#include "record_file.hpp"
+#include "control/raft_store.hpp"
+#include "control/record_file.hpp"
 
 #include <catch2/catch.hpp>
 #include <csignal>
--- a/test/fleet/platform_fleet.hpp
+++ b/test/fleet/platform_fleet.hpp
@@ -2,12 +2,12 @@
 /// Defines platform_fleet, the platform's daemon as real processes with stand-ins around them.
 #pragma once
 
+#include "base/duty.hpp"
 #include "child_processes.hpp"
-#include "duty.hpp"
-#include "http_client.hpp"
 #include "platform_caller.hpp"
 #include "platform_upstream.hpp"
 #include "relay.hpp"
+#include "transport/http_client.hpp"
 
 #include <cstdint>
 #include <map>
--- a/test/fleet/relay.cpp
+++ b/test/fleet/relay.cpp
@@ -1,6 +1,6 @@
 #include "relay.hpp"
 
-#include "endpoint.hpp"
+#include "base/endpoint.hpp"
 
 #include <array>
 #include <boost/asio/post.hpp>
--- a/test/fleet/relay.hpp
+++ b/test/fleet/relay.hpp
@@ -2,8 +2,8 @@
 /// Defines relay, a TCP relay on loopback that delays, resets, silences or cuts what it carries.
 #pragma once
 
-#include "duty.hpp"
-#include "ids.hpp"
+#include "base/duty.hpp"
+#include "base/ids.hpp"
 
 #include <atomic>
 #include <boost/asio/ip/tcp.hpp>
--- a/test/main.cpp
+++ b/test/main.cpp
@@ -1,6 +1,6 @@
 // Catch's main, compiled once; invariants become test failures with their message.
 #define CATCH_CONFIG_RUNNER
-#include "invariant.hpp"
+#include "base/invariant.hpp"
 
 #include <catch2/catch.hpp>
 #include <stdexcept>
--- a/test/support.hpp
+++ b/test/support.hpp
@@ -2,9 +2,9 @@
 /// Defines small helpers that several tests share: a fake clock and the upstream chart.
 #pragma once
 
-#include "chart.hpp"
-#include "instant.hpp"
-#include "upstream_pool.hpp"
+#include "base/chart.hpp"
+#include "base/instant.hpp"
+#include "entry/upstream_pool.hpp"
 
 #include <stdexcept>
 #include <string>
--- a/tutorial/lesson_01_steering.cpp
+++ b/tutorial/lesson_01_steering.cpp
@@ -3,7 +3,7 @@
 ///
 /// A steering table answers from the configuration and the hosts in view. Run it:
 ///     build/tutorial/lesson_01_steering
-#include "steering_table.hpp"
+#include "entry/steering_table.hpp"
 
 #include <iostream>
 
--- a/tutorial/lesson_02_floors.cpp
+++ b/tutorial/lesson_02_floors.cpp
@@ -3,7 +3,7 @@
 ///
 /// An admission queue serves urgent work first, but each rank keeps its floor of the dispatches.
 ///     build/tutorial/lesson_02_floors
-#include "admission_queue.hpp"
+#include "entry/admission_queue.hpp"
 
 #include <iostream>
 
--- a/tutorial/lesson_03_at_most_once.cpp
+++ b/tutorial/lesson_03_at_most_once.cpp
@@ -3,8 +3,8 @@
 ///
 /// Three recorders vote on a key; a majority makes one attempt the only one.
 ///     build/tutorial/lesson_03_at_most_once
-#include "claim_book.hpp"
-#include "claim_round.hpp"
+#include "control/claim_book.hpp"
+#include "entry/claim_round.hpp"
 
 #include <array>
 #include <iostream>
