Serve pipelined requests together, and harden the HTTP server

The session waits for readability and reads then. Change: http_session reads ahead of its answers and runs up to eight requests together where the handler allows it: requests of idempotent routes. Answers go out in order. Only an answer behind which no started request waits closes the connection, after which the server lingers. check_request_head refuses what two parsers may frame differently. Exceptions cost one request. A stop accepts what has begun its handshake. Tests: existing requests of open_port_test state a Host now, since HTTP/1.1 without one is refused for that reason; what they check is unchanged.

--- a/src/base/event_loop.cpp
+++ b/src/base/event_loop.cpp
@@ -1,7 +1,10 @@
-// Runs the thread of a event loop.
+// Runs the thread of an event loop.
 #include "base/event_loop.hpp"
 
+#include "base/log.hpp"
+
 #include <boost/asio/post.hpp>
+#include <exception>
 #include <pthread.h>
 
 namespace guavashed
@@ -21,10 +24,28 @@
         [this]
         {
             pthread_setname_np(pthread_self(), name_.substr(0, max_thread_name_bytes).c_str());
-            context_.run();
+            run();
         });
 }
 
+void event_loop::run()
+{
+    for (;;)
+    {
+        try
+        {
+            context_.run();
+            return;
+        }
+        catch (std::exception const& failure)
+        {
+            // The failed handler costs its own work only; broken invariants abort the process.
+            log_change(log_level::error, "event_handler_failed",
+                       "loop=" + name_ + " reason=\"" + failure.what() + "\"");
+        }
+    }
+}
+
 event_loop::~event_loop()
 {
     stop();
--- a/src/base/event_loop.hpp
+++ b/src/base/event_loop.hpp
@@ -15,7 +15,8 @@
 namespace guavashed
 {
 
-/// An event loop on its own thread.
+/// An event loop on its own thread. An exception that leaves a handler is logged, and the loop goes
+/// on.
 class event_loop
 {
 public:
@@ -35,6 +36,8 @@
     void stop();
 
 private:
+    void run();
+
     std::string name_;
     boost::asio::io_context context_{1};
     boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work_;
--- a/src/fleet/gateway_calls.cpp
+++ b/src/fleet/gateway_calls.cpp
@@ -53,6 +53,15 @@
 void gateway_node::route_call(call_ptr const& item)
 {
     if (!item->table)
+bool gateway_node::may_overlap(http_request const& request) const
+{
+    if (!table_)
+        return false;
+    auto const* const route =
+        table_->find(std::string(request.field("Host")), path_of(request.target));
+    return route != nullptr && route->idempotent;
+}
+
         return refuse(item, "no configuration received yet", starting_retry_after_ms);
     if (item->arrived >= refuse_from_)
         return refuse(item, "this host is draining", leaving_retry_after_ms);
--- a/src/fleet/gateway_node.cpp
+++ b/src/fleet/gateway_node.cpp
@@ -23,6 +23,8 @@
 /// New requests are served for this long after a stop was requested, since callers cache look-up
 /// answers. Later ones are refused, so that the requests in flight can finish.
 constexpr milliseconds drain_accept_window{2800};
+/// For callers to close their connections after the last answers.
+constexpr milliseconds settle_timeout{1000};
 /// Fractions of the fleet's retry budget that hosts use: tokens kept by hosts may be spent in one
 /// window with those earned in it, and hosts that have just joined are not counted yet.
 constexpr double ratio_fraction = 0.9;
@@ -32,7 +34,8 @@
 
 gateway_node::gateway_node(gateway_settings settings, call_protocol const& protocol)
     : settings_(std::move(settings)), protocol_(protocol), event_loop_("entry"),
-      ticker_(event_loop_, tick_interval, [this](instant now) { tick(now); }), client_(event_loop_),
+      ticker_(event_loop_, tick_interval, [this](instant now) { tick(now); }),
+      client_(event_loop_, settings_.max_buffered_bytes),
       board_({settings_.name, settings_.region, settings_.domain, settings_.regions},
              std::random_device{}()),
       link_budget_(settings_.link_bytes_per_s)
@@ -48,6 +51,7 @@
 {
     http_server_limits limits;
     limits.max_connections = settings_.max_connections;
+    limits.max_buffered_bytes = settings_.max_buffered_bytes;
     caller_server_ = std::make_unique<http_server>(event_loop_, *this, limits);
     BOOST_OUTCOME_TRY(caller_server_->listen(settings_.caller_listen));
     readiness_ = std::make_unique<readiness>(
@@ -142,8 +146,9 @@
     limits.max_header_bytes = config.limits.max_header_bytes;
     limits.max_body_bytes = config.limits.max_body_bytes;
     limits.max_connections = settings_.max_connections;
-    // Callers may reuse a connection until shortly before the idle limit that they know, which
-    // may be that of a newer configuration.
+    limits.max_buffered_bytes = settings_.max_buffered_bytes;
+    // Callers may use up the limits that they know, which may be those of a newer configuration.
+    limits.header_timeout = milliseconds(config.limits.header_timeout_ms) * 3 / 2;
     limits.idle_timeout = milliseconds(config.limits.idle_timeout_ms) * 3 / 2;
     caller_server_->set_limits(limits);
     board_.configure(config);
@@ -192,7 +197,14 @@
         idle = done.get_future().get();
     }
     caller_server_->close();
-    log_change(log_level::info, "entry_left", std::string("idle=") + (idle ? "1" : "0"));
+    // Connections end here as their callers read the last answers; one that the process left open
+    // with unread bytes would be reset.
+    instant const settled_by = std::min(until, instant::clock::now() + settle_timeout);
+    while (!caller_server_->closed() && instant::clock::now() < settled_by)
+        std::this_thread::sleep_for(milliseconds(20));
+    log_change(log_level::info, "entry_left",
+               std::string("idle=") + (idle ? "1" : "0") +
+                   " open_connections=" + std::to_string(caller_server_->counters().open));
 }
 
 void gateway_node::stop()
@@ -215,6 +227,13 @@
     line("second_attempts_total", counters_.second_attempts);
     line("connections_opened_total", client_.connections_opened());
     line("bad_frames_total", counters_.bad_frames);
+    auto const& http = caller_server_->counters();
+    line("http_accepted_total", http.accepted);
+    line("http_rejected_total", http.bad_requests);
+    line("http_refused_connections_total", http.refused_connections);
+    line("http_refused_for_memory_total", http.refused_for_memory);
+    line("http_handler_failures_total", http.handler_failures);
+    line("http_open_connections", http.open);
     line("in_flight", in_flight_);
     line("control_sessions", open_sessions());
     line("view_index", view_index_);
--- a/src/fleet/gateway_node.hpp
+++ b/src/fleet/gateway_node.hpp
@@ -41,6 +41,8 @@
     std::size_t max_connections = 2048;
     /// Capacity of the host's network link, each way; 0 for no known bound.
     double link_bytes_per_s = 0;
+    /// Bytes that bodies of requests may hold, and as many those of unfinished answers.
+    std::size_t max_buffered_bytes = 64 * 1024 * 1024;
 };
 
 struct gateway_counters
@@ -76,6 +78,9 @@
     void on_request(http_request request, std::shared_ptr<http_exchange> exchange) override;
     void on_open(frame_session_ptr const& session) override;
     void on_frame(frame_session_ptr const& session, frame&& item) override;
+    /// True for requests of idempotent routes: one that its caller counts as unread and sends again
+    /// may have run.
+    bool may_overlap(http_request const& request) const override;
     void on_close(frame_session_ptr const& session) override;
 
 private:
--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -1,20 +1,18 @@
-// Implements http_server with Beast: one session object per connection, one exchange per request.
+// Implements the accepting part of http_server; http_session serves the connections.
 #include "transport/http_server.hpp"
 
 #include "base/endpoint.hpp"
+#include "transport/http_session.hpp"
 
-#include <boost/asio/dispatch.hpp>
+#include <array>
 #include <boost/asio/post.hpp>
-#include <boost/beast/core.hpp>
-#include <boost/beast/http.hpp>
-#include <optional>
+#include <linux/filter.h>
+#include <sys/socket.h>
 #include <utility>
 
 namespace guavashed
 {
 namespace asio = boost::asio;
-namespace beast = boost::beast;
-namespace http = boost::beast::http;
 using tcp = asio::ip::tcp;
 
 namespace
@@ -22,17 +20,8 @@
 
 /// Pause after a failed accept, for example when the process is out of file descriptors.
 constexpr std::chrono::milliseconds accept_retry_delay{20};
-
-http_request to_http_request(http::request<http::string_body>&& message)
-{
-    http_request out;
-    out.method = std::string(message.method_string());
-    out.target = std::string(message.target());
-    for (auto const& field : message)
-        out.fields.push_back({std::string(field.name_string()), std::string(field.value())});
-    out.body = std::move(message.body());
-    return out;
-}
+/// For handshakes that have begun to end before the port is closed: a round trip of a caller.
+constexpr std::chrono::milliseconds handshake_time{150};
 
 } // namespace
 
@@ -40,238 +29,136 @@
 {
 public:
     implementation(event_loop& owner, http_handler& handler, http_server_limits limits)
-        : owner_(owner), handler_(handler), limits_(limits), acceptor_(owner.context()),
-          retry_(owner.context())
+        : state_(std::make_shared<http_server_state>(owner, handler, limits)),
+          acceptor_(owner.context()), retry_(owner.context()), stop_(owner.context())
     {
     }
 
     result<void> listen(endpoint_text const& where)
     {
         BOOST_OUTCOME_TRY(listen_on(acceptor_, where));
+        listening_ = true;
         accept();
         return boost::outcome_v2::success();
     }
 
     void drain()
     {
-        asio::post(owner_.context(), [self = shared_from_this()] { self->closing_ = true; });
+        asio::post(state_->owner.context(),
+                   [self = shared_from_this()] { self->state_->draining = true; });
     }
 
     void close()
     {
-        asio::post(owner_.context(),
-                   [self = shared_from_this()]
-                   {
-                       self->closing_ = true;
-                       boost::system::error_code ignored;
-                       self->acceptor_.close(ignored);
-                   });
+        asio::post(state_->owner.context(), [self = shared_from_this()] { self->stop(); });
     }
 
-    class session;
-
-    event_loop& owner_;
-    http_handler& handler_;
-    http_server_limits limits_;
-    tcp::acceptor acceptor_;
-    asio::steady_timer retry_;
-    bool closing_ = false;
-    http_server_counters counters_;
+    std::shared_ptr<http_server_state> state_;
+    std::atomic<bool> listening_{false};
 
 private:
     void accept();
+    void adopt(tcp::socket socket);
     void retry_accept();
-};
-
-/// One connection: reads a request, waits for its answer, writes it, repeats.
-class http_server::implementation::session : public std::enable_shared_from_this<session>
-{
-public:
-    session(std::shared_ptr<implementation> server, tcp::socket socket)
-        : server_(std::move(server)), stream_(std::move(socket))
-    {
-        ++server_->counters_.open;
-    }
-    session(session const&) = delete;
-    session& operator=(session const&) = delete;
-    ~session() { --server_->counters_.open; }
-
-    void read()
-    {
-        parser_.emplace();
-        parser_->header_limit(static_cast<std::uint32_t>(server_->limits_.max_header_bytes));
-        parser_->body_limit(server_->limits_.max_body_bytes);
-        stream_.expires_after(server_->limits_.idle_timeout);
-        http::async_read(stream_, buffer_, *parser_,
-                         [self = shared_from_this()](beast::error_code code, std::size_t)
-                         { self->on_read(code); });
-    }
-
-private:
-    class exchange;
-
-    void on_read(beast::error_code code);
-    void watch_for_disconnect();
-    void write(http_response&& response);
-    void write_bad_request(beast::error_code reason);
+    void stop();
+    /// Drops the first packet of new connections; handshakes that have begun end as usual.
+    void refuse_handshakes();
+    void accept_backlog();
 
-    std::shared_ptr<implementation> server_;
-    beast::tcp_stream stream_;
-    beast::flat_buffer buffer_;
-    std::optional<http::request_parser<http::string_body>> parser_;
-    std::optional<http::response<http::string_body>> response_;
-    std::weak_ptr<exchange> current_;
-    bool keep_alive_ = true;
-    bool head_ = false;
-    bool answer_pending_ = false;
+    tcp::acceptor acceptor_;
+    asio::steady_timer retry_;
+    asio::steady_timer stop_;
+    bool stopping_ = false;
 };
 
-class http_server::implementation::session::exchange : public http_exchange,
-                                                       public std::enable_shared_from_this<exchange>
+void http_server::implementation::accept()
 {
-public:
-    explicit exchange(std::shared_ptr<session> owner) : session_(std::move(owner)) {}
-
-    void respond(http_response response) override
-    {
-        if (answered_.exchange(true))
-            return;
-        asio::dispatch(session_->server_->owner_.context(),
-                       [self = shared_from_this(), response = std::move(response)]() mutable
-                       {
-                           // The action may own this exchange; clearing it breaks the cycle.
-                           self->action_ = nullptr;
-                           if (!self->abandoned_)
-                               self->session_->write(std::move(response));
-                       });
-    }
-    bool abandoned() const override { return abandoned_; }
-    void when_abandoned(std::function<void()> action) override { action_ = std::move(action); }
-
-    void abandon()
-    {
-        abandoned_ = true;
-        auto const action = std::exchange(action_, nullptr);
-        if (action && !answered_)
-            action();
-    }
-
-private:
-    std::shared_ptr<session> session_;
-    std::function<void()> action_;
-    std::atomic<bool> answered_{false};
-    std::atomic<bool> abandoned_{false};
-};
+    acceptor_.async_accept(
+        [self = shared_from_this()](boost::system::error_code code, tcp::socket socket)
+        {
+            if (!code)
+                self->adopt(std::move(socket));
+            if (!self->acceptor_.is_open())
+                return;
+            if (code)
+                return self->retry_accept();
+            self->accept();
+        });
+}
 
-void http_server::implementation::session::on_read(beast::error_code code)
+void http_server::implementation::adopt(tcp::socket socket)
 {
-    if (code == http::error::end_of_stream || code == asio::error::operation_aborted)
-        return;
-    if (code)
+    if (state_->counters.open >= state_->limits.max_connections)
     {
-        if (code.category() == make_error_code(http::error::bad_method).category())
-        {
-            ++server_->counters_.bad_requests;
-            write_bad_request(code);
-        }
+        ++state_->counters.refused_connections;
         return;
     }
-    keep_alive_ = parser_->get().keep_alive() && !server_->closing_;
-    head_ = parser_->get().method() == http::verb::head;
-    stream_.expires_never();
-    answer_pending_ = true;
-    auto current = std::make_shared<exchange>(shared_from_this());
-    current_ = current;
-    watch_for_disconnect();
-    server_->handler_.on_request(to_http_request(parser_->release()), std::move(current));
+    ++state_->counters.accepted;
+    boost::system::error_code ignored;
+    socket.set_option(tcp::no_delay(true), ignored);
+    std::make_shared<http_session>(state_, std::move(socket))->start();
 }
 
-void http_server::implementation::session::watch_for_disconnect()
+void http_server::implementation::retry_accept()
 {
-    stream_.socket().async_wait(
-        tcp::socket::wait_read,
-        [self = shared_from_this()](beast::error_code code)
+    retry_.expires_after(accept_retry_delay);
+    retry_.async_wait(
+        [self = shared_from_this()](boost::system::error_code)
         {
-            if (!self->answer_pending_)
-                return;
-            char byte = 0;
-            beast::error_code peeked;
-            self->stream_.socket().non_blocking(true, peeked);
-            if (!code)
-                self->stream_.socket().receive(asio::buffer(&byte, 1), tcp::socket::message_peek,
-                                               peeked);
-            bool const gone = code || (peeked && peeked != asio::error::would_block);
-            auto const current = self->current_.lock();
-            if (gone && current)
-                current->abandon();
+            if (self->acceptor_.is_open())
+                self->accept();
         });
 }
 
-void http_server::implementation::session::write(http_response&& response)
-{
-    answer_pending_ = false;
-    beast::error_code ignored;
-    response_.emplace();
-    response_->version(11);
-    response_->result(response.status);
-    for (auto const& field : response.fields)
-        response_->insert(field.name, field.value);
-    response_->keep_alive(keep_alive_ && !server_->closing_);
-    response_->body() = std::move(response.body);
-    // The answer to HEAD carries the Content-Length of the body that it omits.
-    if (!head_ || response_->find(http::field::content_length) == response_->end())
-        response_->prepare_payload();
-    stream_.expires_after(server_->limits_.idle_timeout);
-    http::async_write(stream_, *response_,
-                      [self = shared_from_this()](beast::error_code code, std::size_t)
-                      {
-                          if (code)
-                              return;
-                          if (self->response_->keep_alive())
-                              return self->read();
-                          beast::error_code late;
-                          self->stream_.socket().shutdown(tcp::socket::shutdown_send, late);
-                      });
-}
-
-void http_server::implementation::session::write_bad_request(beast::error_code reason)
-{
-    unsigned status = 400;
-    if (reason == http::error::header_limit)
-        status = 431;
-    if (reason == http::error::body_limit)
-        status = 413;
-    keep_alive_ = false;
-    write(
-        json_response(status, "{\"error\":\"malformed HTTP request: " + reason.message() + "\"}"));
-}
-
-void http_server::implementation::accept()
+void http_server::implementation::stop()
 {
-    acceptor_.async_accept(
-        [self = shared_from_this()](boost::system::error_code code, tcp::socket socket)
+    state_->draining = true;
+    // Closing a session may end it, which removes it from the set.
+    auto const sessions = state_->sessions;
+    for (auto* const session : sessions)
+        if (state_->sessions.contains(session))
+            session->close_if_idle();
+    if (!acceptor_.is_open() || stopping_)
+        return;
+    stopping_ = true;
+    refuse_handshakes();
+    stop_.expires_after(handshake_time);
+    stop_.async_wait(
+        [self = shared_from_this()](boost::system::error_code)
         {
-            if (!self->acceptor_.is_open())
-                return;
-            if (code)
-                return self->retry_accept();
-            if (self->counters_.open >= self->limits_.max_connections)
-                ++self->counters_.refused_connections;
-            else
-            {
-                ++self->counters_.accepted;
-                boost::system::error_code ignored;
-                socket.set_option(tcp::no_delay(true), ignored);
-                std::make_shared<session>(self, std::move(socket))->read();
-            }
-            self->accept();
+            self->accept_backlog();
+            boost::system::error_code ignored;
+            self->acceptor_.close(ignored);
+            self->listening_ = false;
         });
 }
 
-void http_server::implementation::retry_accept()
+void http_server::implementation::refuse_handshakes()
+{
+    // The filter sees the TCP header; its 14th byte holds the flags. Where the system has no such
+    // filter, handshakes that end just before the port is closed are reset.
+    constexpr std::uint32_t flags_offset = 13;
+    constexpr std::uint32_t syn_flag = 0x02;
+    constexpr std::uint32_t keep_whole = 0xffffffff;
+    std::array<sock_filter, 4> drop_syn{{{BPF_LD | BPF_B | BPF_ABS, 0, 0, flags_offset},
+                                         {BPF_JMP | BPF_JSET | BPF_K, 0, 1, syn_flag},
+                                         {BPF_RET | BPF_K, 0, 0, 0},
+                                         {BPF_RET | BPF_K, 0, 0, keep_whole}}};
+    sock_fprog const program{static_cast<unsigned short>(drop_syn.size()), drop_syn.data()};
+    ::setsockopt(acceptor_.native_handle(), SOL_SOCKET, SO_ATTACH_FILTER, &program, sizeof program);
+}
+
+void http_server::implementation::accept_backlog()
 {
-    retry_.expires_after(accept_retry_delay);
-    retry_.async_wait([self = shared_from_this()](boost::system::error_code) { self->accept(); });
+    boost::system::error_code code;
+    acceptor_.non_blocking(true, code);
+    while (!code)
+    {
+        tcp::socket socket(state_->owner.context());
+        acceptor_.accept(socket, code);
+        if (!code)
+            adopt(std::move(socket));
+    }
 }
 
 http_server::http_server(event_loop& owner, http_handler& handler, http_server_limits limits)
@@ -288,7 +175,7 @@
 
 void http_server::set_limits(http_server_limits limits)
 {
-    implementation_->limits_ = limits;
+    implementation_->state_->limits = limits;
 }
 
 void http_server::drain()
@@ -301,9 +188,14 @@
     implementation_->close();
 }
 
+bool http_server::closed() const
+{
+    return !implementation_->listening_ && implementation_->state_->counters.open == 0;
+}
+
 http_server_counters const& http_server::counters() const
 {
-    return implementation_->counters_;
+    return implementation_->state_->counters;
 }
 
 } // namespace guavashed
--- a/src/transport/http_server.hpp
+++ b/src/transport/http_server.hpp
@@ -34,8 +34,12 @@
 {
 public:
     virtual ~http_handler() = default;
-    /// Runs on the server's event loop; must not block.
+    /// Runs on the server's event loop; must not block. An exception that leaves it is answered
+    /// with 500.
     virtual void on_request(http_request request, std::shared_ptr<http_exchange> exchange) = 0;
+    /// Whether the request may run at the same time as others of its connection that allow it too.
+    /// Runs on the server's event loop.
+    virtual bool may_overlap(http_request const&) const { return false; }
 };
 
 struct http_server_limits
@@ -43,9 +47,14 @@
     std::size_t max_header_bytes = 16 * 1024;
     std::size_t max_body_bytes = 256 * 1024;
     std::size_t max_connections = 4096;
-    /// Longest time from a connection's last answer to the end of its next request, and for
-    /// writing an answer.
+    /// Longest time from a connection's last answer to the first byte of its next request, from a
+    /// request's head to its end, and for writing an answer.
     std::chrono::milliseconds idle_timeout{60000};
+    /// Longest time from the first byte of a request to the end of its head.
+    std::chrono::milliseconds header_timeout{10000};
+    /// Bytes of bodies and of answers waiting for their turn that all connections may hold;
+    /// requests beyond it are refused with 503.
+    std::size_t max_buffered_bytes = 64 * 1024 * 1024;
 };
 
 struct http_server_counters
@@ -54,9 +63,14 @@
     std::atomic<std::uint64_t> refused_connections{0};
     std::atomic<std::uint64_t> bad_requests{0};
     std::atomic<std::uint64_t> open{0};
+    /// Requests refused because `max_buffered_bytes` were held.
+    std::atomic<std::uint64_t> refused_for_memory{0};
+    /// Exceptions that left the handler.
+    std::atomic<std::uint64_t> handler_failures{0};
 };
 
-/// Accepts HTTP/1.1 connections and serves one request at a time on each.
+/// Accepts HTTP/1.1 connections. Answers of a connection are sent in the order of its requests,
+/// which run one after the other unless the handler lets them overlap.
 class http_server
 {
 public:
@@ -72,9 +86,13 @@
     /// From now on each answer closes its connection; new connections are still accepted. Thread
     /// safe.
     void drain();
-    /// Stops accepting connections. Open ones are closed after their next answer, which carries
-    /// "Connection: close". Thread safe.
+    /// Stops accepting connections, after those whose handshakes have begun. Idle connections are
+    /// closed, others after the answer to their last request, which carries "Connection: close".
+    /// Thread safe.
     void close();
+    /// True before `listen`, and again when `close` has taken effect and all callers have closed
+    /// their connections. Thread safe.
+    bool closed() const;
     /// Thread safe.
     http_server_counters const& counters() const;
 
--- /dev/null
+++ b/test/error/http_session_test.cpp
@@ -0,0 +1,371 @@
+// Guards against what callers, by fault or intent, do to a connection of the HTTP server: pipelined
+// requests, requests that two parsers frame differently, handlers that throw, bodies beyond the
+// memory of the process, callers that trickle, and connections accepted just before a stop.
+#include "raw_caller.hpp"
+#include "transport/http_server.hpp"
+#include "transport/request_head.hpp"
+
+#include <boost/asio/post.hpp>
+#include <catch2/catch.hpp>
+#include <future>
+#include <map>
+#include <mutex>
+#include <stdexcept>
+
+using namespace guavashed;
+
+namespace
+{
+
+constexpr unsigned short port = 20921;
+
+/// Holds the exchanges of "/held/..." until the test answers them; answers all others at once.
+class scripted_handler : public http_handler
+{
+public:
+    void on_request(http_request request, std::shared_ptr<http_exchange> exchange) override
+    {
+        std::unique_lock const lock(mutex_);
+        started_.push_back(request.target);
+        if (request.target == "/throw")
+            throw std::runtime_error("as asked");
+        if (request.target == "/drop")
+            return;
+        if (request.target.starts_with("/held/"))
+        {
+            exchange->when_abandoned([this] { ++abandoned; });
+            held_[request.target] = std::move(exchange);
+            return;
+        }
+        exchange->respond({200, {}, request.target + std::string(answer_padding, '.')});
+    }
+    bool may_overlap(http_request const& request) const override { return request.method == "GET"; }
+
+    void answer(std::string const& target)
+    {
+        std::shared_ptr<http_exchange> exchange;
+        {
+            std::unique_lock const lock(mutex_);
+            exchange = held_.at(target);
+        }
+        exchange->respond({200, {}, target});
+    }
+    /// Drops the held exchanges; they must not outlive the server's event loop.
+    void release()
+    {
+        std::unique_lock const lock(mutex_);
+        held_.clear();
+    }
+    std::vector<std::string> started() const
+    {
+        std::unique_lock const lock(mutex_);
+        return started_;
+    }
+
+    std::atomic<int> abandoned{0};
+    std::size_t answer_padding = 0;
+
+private:
+    mutable std::mutex mutex_;
+    std::vector<std::string> started_;
+    std::map<std::string, std::shared_ptr<http_exchange>> held_;
+};
+
+/// A server on its own thread, stopped before its handler ends.
+struct running_server
+{
+    explicit running_server(http_server_limits limits = {})
+        : owner("http"), server(owner, handler, limits)
+    {
+        REQUIRE(server.listen(endpoint_text("127.0.0.1:" + std::to_string(port))));
+    }
+    ~running_server()
+    {
+        owner.stop();
+        handler.release();
+    }
+
+    scripted_handler handler;
+    event_loop owner;
+    http_server server;
+};
+
+std::string get(std::string const& target, std::string const& fields = "")
+{
+    return "GET " + target + " HTTP/1.1\r\nHost: a\r\n" + fields + "\r\n";
+}
+
+std::string post(std::string const& target, std::string const& body)
+{
+    return "POST " + target +
+           " HTTP/1.1\r\nHost: a\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+           body;
+}
+
+using targets = std::vector<std::string>;
+
+bool becomes_true(std::function<bool()> const& condition)
+{
+    for (int i = 0; i < 200 && !condition(); ++i)
+        std::this_thread::sleep_for(milliseconds(10));
+    return condition();
+}
+
+} // namespace
+
+SCENARIO("pipelined requests")
+{
+    running_server running;
+    raw_caller caller(port);
+    GIVEN("two requests that may overlap, the first of them slow")
+    {
+        caller.send(get("/held/1") + get("/2"));
+        REQUIRE(becomes_true([&] { return running.handler.started().size() == 2; }));
+        THEN("the second runs beside the first, and its answer waits for its turn")
+        {
+            CHECK(running.handler.started() == targets{"/held/1", "/2"});
+            CHECK(caller.receive_for(milliseconds(50)).empty());
+            running.handler.answer("/held/1");
+            std::string const answers = caller.receive_until("/2");
+            CHECK(answers.find("\r\n\r\n/held/1HTTP/1.1 200") != std::string::npos);
+        }
+        THEN("both are abandoned when the caller leaves")
+        {
+            caller.send(get("/held/3"));
+            REQUIRE(becomes_true([&] { return running.handler.started().size() == 3; }));
+            caller.close();
+            CHECK(becomes_true([&] { return running.handler.abandoned == 2; }));
+        }
+    }
+    GIVEN("a request that may not overlap behind one that is running")
+    {
+        caller.send(get("/held/1") + post("/held/2", "x") + get("/3"));
+        REQUIRE(becomes_true([&] { return !running.handler.started().empty(); }));
+        std::this_thread::sleep_for(milliseconds(50));
+        THEN("it starts after the answer to the first, and the third after its own")
+        {
+            CHECK(running.handler.started() == targets{"/held/1"});
+            running.handler.answer("/held/1");
+            REQUIRE(becomes_true([&] { return running.handler.started().size() == 2; }));
+            std::this_thread::sleep_for(milliseconds(50));
+            CHECK(running.handler.started() == targets{"/held/1", "/held/2"});
+            running.handler.answer("/held/2");
+            caller.receive_until("/3");
+            CHECK(running.handler.started() == targets{"/held/1", "/held/2", "/3"});
+        }
+        THEN("it never starts when the caller leaves first")
+        {
+            caller.close();
+            CHECK(becomes_true([&] { return running.handler.abandoned == 1; }));
+            std::this_thread::sleep_for(milliseconds(50));
+            CHECK(running.handler.started() == targets{"/held/1"});
+        }
+    }
+    GIVEN("many requests at once")
+    {
+        std::string all = get("/held/first");
+        std::string last;
+        for (int i = 0; i < 50; ++i)
+            all += get(last = "/n" + std::to_string(i) + "/");
+        caller.send(all);
+        std::this_thread::sleep_for(milliseconds(100));
+        THEN("a bounded number runs ahead, and all are answered in order")
+        {
+            CHECK(running.handler.started().size() == 8);
+            running.handler.answer("/held/first");
+            std::string const answers = caller.receive_until(last);
+            std::size_t at = 0;
+            for (int i = 0; i < 50; ++i)
+                CHECK((at = answers.find("\r\n\r\n/n" + std::to_string(i) + "/", at)) !=
+                      std::string::npos);
+        }
+    }
+    GIVEN("a stop of the server while two requests run")
+    {
+        caller.send(get("/held/1") + get("/held/2"));
+        REQUIRE(becomes_true([&] { return running.handler.started().size() == 2; }));
+        running.server.drain();
+        std::this_thread::sleep_for(milliseconds(20));
+        running.handler.answer("/held/1");
+        running.handler.answer("/held/2");
+        THEN("both are answered, and only the last answer closes the connection")
+        {
+            std::string const answers = caller.receive_to_end();
+            CHECK(answers.find("/held/1HTTP/1.1 200") != std::string::npos);
+            CHECK(answers.ends_with("/held/2"));
+            CHECK(answers.find("Connection: close") > answers.find("/held/1HTTP"));
+        }
+    }
+}
+
+SCENARIO("an answer that closes the connection arrives whole")
+{
+    running_server running;
+    running.handler.answer_padding = 4'000'000;
+    raw_caller caller(port);
+    // Unread bytes at the server would turn its close into a reset that destroys the answer.
+    caller.send(get("/1", "Connection: close\r\n") + post("/2", std::string(300'000, 'b')));
+    std::this_thread::sleep_for(milliseconds(100));
+    std::string const answer = caller.receive_to_end();
+    CHECK_FALSE(caller.was_reset());
+    CHECK(answer.size() > 4'000'000);
+    CHECK(running.handler.started() == targets{"/1"});
+}
+
+SCENARIO("a request whose framing is ambiguous is refused, and nothing of it runs")
+{
+    running_server running;
+    auto const [name, bytes] = GENERATE(table<std::string, std::string>({
+        {"an unknown transfer coding",
+         "POST /1 HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: xchunked\r\n\r\n"},
+        {"chunked after another coding",
+         "POST /1 HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: gzip, chunked\r\n\r\n"},
+        {"two transfer codings", "POST /1 HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n"
+                                 "Transfer-Encoding: chunked\r\n\r\n"},
+        {"chunked with a length", "POST /1 HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n"
+                                  "Content-Length: 5\r\n\r\n"},
+        {"no host", "GET /1 HTTP/1.1\r\n\r\n"},
+        {"two hosts", "GET /1 HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n"},
+        {"a folded field", "GET /1 HTTP/1.1\r\nHost: a\r\nB: c\r\n d\r\n\r\n"},
+        {"a field without a colon", "GET /1 HTTP/1.1\r\nHost: a\r\nnonsense\r\n\r\n"},
+    }));
+    INFO(name);
+    raw_caller caller(port);
+    caller.send(bytes + get("/smuggled"));
+    std::string const answers = caller.receive_to_end();
+    CHECK(answers.starts_with("HTTP/1.1 400"));
+    CHECK(answers.find("HTTP/1.1", 1) == std::string::npos);
+    CHECK(running.handler.started().empty());
+}
+
+SCENARIO("a handler that fails costs one request, not the process")
+{
+    running_server running;
+    GIVEN("an exception")
+    {
+        CHECK(raw_caller(port, get("/throw")).receive_until("}").starts_with("HTTP/1.1 500"));
+        CHECK(running.server.counters().handler_failures == 1);
+    }
+    GIVEN("a request that is dropped without an answer")
+    {
+        CHECK(raw_caller(port, get("/drop")).receive_until("}").starts_with("HTTP/1.1 500"));
+    }
+    GIVEN("an exception in another handler of the event loop")
+    {
+        boost::asio::post(running.owner.context(), [] { throw std::runtime_error("as asked"); });
+    }
+    CHECK(raw_caller(port, get("/next")).receive_until("/next").starts_with("HTTP/1.1 200"));
+}
+
+SCENARIO("requests that need more than their head")
+{
+    running_server running;
+    raw_caller caller(port);
+    GIVEN("a caller that waits for 100 Continue")
+    {
+        caller.send("POST /1 HTTP/1.1\r\nHost: a\r\nExpect: 100-continue\r\n"
+                    "Content-Length: 4\r\n\r\n");
+        CHECK(caller.receive_until("\r\n\r\n") == "HTTP/1.1 100 Continue\r\n\r\n");
+        caller.send("body");
+        CHECK(caller.receive_until("/1").starts_with("HTTP/1.1 200"));
+    }
+    GIVEN("a caller that waits for it with a body beyond the limit")
+    {
+        caller.send("POST /1 HTTP/1.1\r\nHost: a\r\nExpect: 100-continue\r\n"
+                    "Content-Length: 999999999\r\n\r\n");
+        CHECK(caller.receive_to_end().starts_with("HTTP/1.1 413"));
+    }
+    GIVEN("a CONNECT request")
+    {
+        caller.send("CONNECT b:1 HTTP/1.1\r\nHost: b:1\r\n\r\n");
+        CHECK(caller.receive_to_end().starts_with("HTTP/1.1 501"));
+    }
+    CHECK(running.handler.started().size() <= 1);
+}
+
+SCENARIO("callers cannot hold memory or connections without bound")
+{
+    http_server_limits limits;
+    limits.max_body_bytes = 2'000'000;
+    limits.max_buffered_bytes = 3'000'000;
+    limits.header_timeout = milliseconds(200);
+    limits.idle_timeout = milliseconds(400);
+    running_server running(limits);
+    GIVEN("bodies that together exceed the memory limit")
+    {
+        raw_caller first(port, "POST /1 HTTP/1.1\r\nHost: a\r\nContent-Length: 1900000\r\n\r\n");
+        std::this_thread::sleep_for(milliseconds(50));
+        raw_caller second(port, "POST /2 HTTP/1.1\r\nHost: a\r\nContent-Length: 1900000\r\n\r\n");
+        std::string const answer = second.receive_to_end();
+        CHECK(answer.starts_with("HTTP/1.1 503"));
+        CHECK(answer.find("Retry-After: ") != std::string::npos);
+        first.send(std::string(1'900'000, 'x'));
+        CHECK(first.receive_until("/1").starts_with("HTTP/1.1 200"));
+        CHECK(running.server.counters().refused_for_memory == 1);
+    }
+    GIVEN("a head that trickles")
+    {
+        raw_caller caller(port, "GET / HTTP/1.1\r\nHo");
+        CHECK(caller.receive_to_end().starts_with("HTTP/1.1 408"));
+    }
+    GIVEN("a body that trickles")
+    {
+        raw_caller caller(port, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n\r\nab");
+        CHECK(caller.receive_to_end().starts_with("HTTP/1.1 408"));
+    }
+    GIVEN("a connection without a request")
+    {
+        raw_caller caller(port, "");
+        CHECK(caller.receive_to_end().empty());
+        CHECK_FALSE(caller.was_reset());
+    }
+    CHECK(running.handler.started().size() <= 1);
+}
+
+SCENARIO("a stop of the server cuts no request that its kernel has accepted")
+{
+    int served = 0;
+    int refused = 0;
+    int cut = 0;
+    for (int round = 0; round < 5; ++round)
+    {
+        running_server running;
+        std::atomic<bool> ended{false};
+        std::vector<std::thread> callers;
+        std::mutex mutex;
+        for (int i = 0; i < 4; ++i)
+            callers.emplace_back(
+                [&]
+                {
+                    while (!ended)
+                    {
+                        call_result const got = call_once(port, get("/x"), "/x");
+                        std::unique_lock const lock(mutex);
+                        served += got == call_result::answered;
+                        refused += got == call_result::not_connected;
+                        cut += got == call_result::cut;
+                    }
+                });
+        std::this_thread::sleep_for(milliseconds(100));
+        running.server.close();
+        CHECK(becomes_true([&] { return running.server.closed(); }));
+        ended = true;
+        for (auto& item : callers)
+            item.join();
+    }
+    CHECK(served > 100);
+    CHECK(refused > 0);
+    CHECK(cut == 0);
+}
+
+SCENARIO("the framing check of a request head")
+{
+    CHECK(check_request_head("GET / HTTP/1.1\r\nHost: a\r\n", 100).verdict ==
+          head_verdict::incomplete);
+    CHECK(check_request_head("GET / HTTP/1.1\r\nHost: a\r\n\r\n", 100).verdict ==
+          head_verdict::well_formed);
+    CHECK(check_request_head("GET / HTTP/1.0\r\n\r\n", 100).verdict == head_verdict::well_formed);
+    CHECK(check_request_head("GET / HTTP/1.1\r\nHost: a\r\n\r\n", 20).verdict ==
+          head_verdict::too_large);
+    CHECK(check_request_head(std::string(101, 'x'), 100).verdict == head_verdict::too_large);
+}
--- a/test/error/open_port_test.cpp
+++ b/test/error/open_port_test.cpp
@@ -108,24 +108,26 @@
     SECTION("a header above the size limit")
     {
         std::string const answer =
-            exchange_raw(http_port, "GET / HTTP/1.1\r\nA: " + std::string(5000, 'a'));
+            exchange_raw(http_port, "GET / HTTP/1.1\r\nHost: a\r\nA: " + std::string(5000, 'a'));
         CHECK(answer.starts_with("HTTP/1.1 431"));
     }
     SECTION("a body above the size limit")
     {
         std::string const answer =
-            exchange_raw(http_port, "POST / HTTP/1.1\r\nContent-Length: 999999\r\n\r\n");
+            exchange_raw(http_port, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 999999\r\n\r\n");
         CHECK(answer.starts_with("HTTP/1.1 413"));
     }
     SECTION("two different Content-Length fields")
     {
         std::string const answer = exchange_raw(
-            http_port, "POST / HTTP/1.1\r\nContent-Length: 3\r\nContent-Length: 5\r\n\r\nabcde");
+            http_port,
+            "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\nContent-Length: 5\r\n\r\nabcde");
         CHECK(answer.starts_with("HTTP/1.1 400"));
     }
     SECTION("a truncated body")
     {
-        CHECK(exchange_raw(http_port, "POST / HTTP/1.1\r\nContent-Length: 10\r\n\r\nabc").empty());
+        CHECK(exchange_raw(http_port, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 10\r\n\r\nabc")
+                  .empty());
     }
     THEN("the next request is served")
     {
