Use the pace that upstreams report of their machines

Slow answers of a machine under other load counted as a slow upstream for seconds. Change: upstream_load carries the pace; it scales predicted service and waiting time with a half-life of 150 ms, and learned service times are divided by it. Three, four and more figures are read; an unreadable pace does not cost the others.

--- a/src/routing/upstream_feedback.cpp
+++ b/src/routing/upstream_feedback.cpp
@@ -12,10 +12,13 @@
 
 /// Half-life of a load report.
 constexpr double load_half_life_ms = 400;
+/// Half-life of a reported pace, which changes many times a second.
+constexpr double pace_half_life_ms = 150;
 /// Half-life of slowness and failure rate without a new outcome.
 constexpr double rate_half_life_ms = 4000;
 constexpr double smoothing_factor = 0.1;
 constexpr double max_slowness = 12;
+constexpr double min_pace = 0.2;
 constexpr milliseconds base_ejection{500};
 constexpr milliseconds max_ejection{4000};
 /// Consecutive failures after which an upstream that accepts connections is ejected.
@@ -35,6 +38,11 @@
     return decay(load_half_life_ms, other_hosts_load_at, now);
 }
 
+double upstream_selector::upstream_state::expected_pace(instant now) const
+{
+    return 1 + (pace - 1) * decay(pace_half_life_ms, other_hosts_load_at, now);
+}
+
 double upstream_selector::upstream_state::rates_weight(instant now) const
 {
     return decay(rate_half_life_ms, rates_at, now);
@@ -58,7 +66,9 @@
     if (known == service_times_.end())
         return;
     double& expected = chosen.place == 0 ? known->second.home_ms : known->second.other_ms;
-    double const work = std::max(1.0, took_ms - round_trip_ms(state) - chosen.wait_ms);
+    // What other work on the machine costs passes soon and indicates nothing about the upstream.
+    double const work =
+        std::max(1.0, took_ms - round_trip_ms(state) - chosen.wait_ms) / std::max(1.0, state.pace);
     double const ratio = std::clamp(work / std::max(1.0, expected), 0.3, max_slowness);
     double const age_weight = state.rates_weight(now);
     double const before = 1 + (state.slowness - 1) * age_weight;
@@ -92,6 +102,7 @@
         double const all = outcome.load->running + outcome.load->waiting;
         state.other_hosts_load = std::max(0.0, all - state.in_flight - 1);
         state.other_hosts_load_at = now;
+        state.pace = std::clamp(outcome.load->pace, min_pace, max_slowness);
     }
     double const age_weight = state.rates_weight(now);
     switch (outcome.result)
--- a/src/routing/upstream_selector.cpp
+++ b/src/routing/upstream_selector.cpp
@@ -204,7 +204,7 @@
     upstream_state const& state = *item.state;
     service_time const& time = service_time_of(request.route);
     double const age_weight = state.rates_weight(now);
-    double const slowness = 1 + (state.slowness - 1) * age_weight;
+    double const slowness = (1 + (state.slowness - 1) * age_weight) * state.expected_pace(now);
     double const away = std::max(time.other_ms, time.home_ms * min_away_factor);
     double const work = (item.place == 0 ? time.home_ms : away) * slowness;
     double const slots = std::max<std::uint32_t>(state.row.slots, 1);
--- a/src/routing/upstream_selector.hpp
+++ b/src/routing/upstream_selector.hpp
@@ -38,6 +38,9 @@
     std::uint32_t running = 0;
     std::uint32_t waiting = 0;
     std::uint32_t slots = 0;
+    /// How long work takes on the upstream's machine at the moment, relative to its usual time; a
+    /// machine is shared with others.
+    double pace = 1;
 };
 
 /// One attempt that needs an upstream.
@@ -131,6 +134,8 @@
         std::uint32_t failures_in_row = 0;
         instant ejected_until;
         instant cold_until;
+        /// As in `upstream_load`, reported at `other_hosts_load_at`.
+        double pace = 1;
         /// Earliest time of the next request from this host while it is cold.
         instant next_cold_send;
         /// A different upstream answers at its address.
@@ -146,6 +151,9 @@
     {
         /// At the object's home, and at any other upstream.
         double home_ms = 0;
+        /// Expected ratio of the machine's work time to its usual one: the last report, decayed by
+        /// its age.
+        double expected_pace(instant now) const;
         double other_ms = 0;
     };
     struct candidate
--- a/test/correctness/platform/wire_calls_test.cpp
+++ b/test/correctness/platform/wire_calls_test.cpp
@@ -102,6 +102,26 @@
     CHECK(relayed.field("Keep-Alive").empty());
     CHECK(relayed.field("X-Guavashed-Server-Load").empty());
 
+    SECTION("a load of three figures states no pace")
+    {
+        CHECK(facts.load->pace == 1);
+    }
+    SECTION("a fourth figure is the pace of the machine in percent, later ones are ignored")
+    {
+        answer.fields[2].value = GENERATE("3,1,8,250", "3,1,8,250,7", "3,1,8,250,x");
+        auto const load = wire.read_answer(answer).load;
+        REQUIRE(load);
+        CHECK(load->slots == 8);
+        CHECK(load->pace == 2.5);
+    }
+    SECTION("an unreadable pace doesn't cost the other figures")
+    {
+        answer.fields[2].value = GENERATE("3,1,8,", "3,1,8,x", "3,1,8,0", "3,1,8,-5");
+        auto const load = wire.read_answer(answer).load;
+        REQUIRE(load);
+        CHECK(load->waiting == 1);
+        CHECK(load->pace == 1);
+    }
     SECTION("a malformed load is ignored")
     {
         answer.fields[2].value = "3,x,8";
--- a/test/correctness/routing/upstream_selector_test.cpp
+++ b/test/correctness/routing/upstream_selector_test.cpp
@@ -234,3 +234,41 @@
     CHECK(pick_for(board, "block 7", 400) != home);
     CHECK(pick_for(board, "block 7", 1200) == home);
 }
+
+// Guards against taking the noise of a shared machine for a sick upstream, and against sending work
+// to a machine that is slow at the moment.
+SCENARIO("upstreams that report the pace of their machine")
+{
+    upstream_selector board = board_of(whole_view(8));
+    std::string const home = pick_for(board, "block 7", 0);
+    auto const report_pace = [&](double pace, std::int64_t now_ms, double took_ms)
+    {
+        attempt_report outcome;
+        outcome.took_ms = took_ms;
+        outcome.load = upstream_load{1, 0, 4, pace};
+        board.report(pick_of(home), "checks", outcome, at_ms(now_ms));
+    };
+    GIVEN("a home whose machine takes five times as long at the moment")
+    {
+        report_pace(5, 100, 800);
+        THEN("the object's second upstream gets the next request")
+        {
+            CHECK(pick_for(board, "block 7", 101) != home);
+        }
+        THEN("the home gets requests again when the report is old")
+        {
+            CHECK(pick_for(board, "block 7", 1500) == home);
+        }
+    }
+    GIVEN("answers that are slow by the machine's pace alone")
+    {
+        std::int64_t now = 100;
+        for (int i = 0; i < 30; ++i, now += 20)
+            report_pace(4, now, 640);
+        report_pace(1, now, 160);
+        THEN("the upstream itself is not taken to be slow")
+        {
+            CHECK(pick_for(board, "block 7", now + 1) == home);
+        }
+    }
+}
