Derive Retry-After from the predicted end of a refusal's cause

Change: retry_hint_ms, a decision of its own: the predicted time until a request like it is accepted, spread over half of it again, capped by what the caller follows. The selector tells by how much the best answer is too late, or when a cold upstream may get its next request; the link budget its queue; an entry host without a view the usual start of a fleet.

--- a/src/fleet/gateway_calls.cpp
+++ b/src/fleet/gateway_calls.cpp
@@ -19,10 +19,13 @@
 /// Requests that are not idempotent reuse a connection only if it was used this recently: one that
 /// the upstream is about to close would leave the outcome unknown.
 constexpr milliseconds max_reuse_idle{2000};
-/// Retry-After of refusals.
-constexpr std::uint32_t starting_retry_after_ms = 300;
-constexpr std::uint32_t busy_retry_after_ms = 400;
-constexpr std::uint32_t leaving_retry_after_ms = 100;
+/// From the start of a process to its first view where control hosts are running.
+constexpr double lone_start_ms = 400;
+/// The same where the whole fleet starts with it: connections, an election after the leases of an
+/// earlier life, and a push of the view.
+constexpr double fleet_start_ms = 1700;
+/// Hosts that take over for a leaving one are ready already.
+constexpr double leaving_retry_after_ms = 100;
 
 double ms_between(instant from, instant to)
 {
@@ -50,9 +53,12 @@
     route_call(item);
 }
 
-void gateway_node::route_call(call_ptr const& item)
+double gateway_node::expected_start_ms(instant now) const
 {
-    if (!item->table)
+    double const age_ms = ms_between(started_, now);
+    return (age_ms < lone_start_ms ? lone_start_ms : fleet_start_ms) - age_ms;
+}
+
 bool gateway_node::may_overlap(http_request const& request) const
 {
     if (!table_)
@@ -62,7 +68,10 @@
     return route != nullptr && route->idempotent;
 }
 
-        return refuse(item, "no configuration received yet", starting_retry_after_ms);
+void gateway_node::route_call(call_ptr const& item)
+{
+    if (!item->table)
+        return refuse(item, "no configuration received yet", expected_start_ms(item->arrived));
     if (item->arrived >= refuse_from_)
         return refuse(item, "this host is draining", leaving_retry_after_ms);
     item->route = item->table->find(item->facts.host, path_of(item->request.target));
@@ -70,37 +79,42 @@
         return answer(item, protocol_.local_response(404, item->facts.id, "no route matches", 0),
                       "no_route", "host=" + item->facts.host);
     item->service = item->table->next_service(*item->route);
-    instant const by_caller =
-        item->arrived +
-        (item->facts.deadline_ms ? milliseconds(*item->facts.deadline_ms) : default_deadline);
-    item->deadline = std::min(by_caller, item->arrived + milliseconds(item->route->timeout_ms));
+    item->deadline =
+        std::min(caller_deadline(*item), item->arrived + milliseconds(item->route->timeout_ms));
     link_request const claim{item->route->name, item->route->priority, item->route->objective_ms,
                              item->request.body.size()};
     if (!link_budget_.admit(claim, item->arrived))
+    {
+        double const queue_ms = link_budget_.queue_ms(item->arrived);
         return refuse(item,
-                      "network link of this host saturated: queue_ms=" +
-                          integer_text(link_budget_.queue_ms(item->arrived)),
-                      busy_retry_after_ms);
+                      "network link of this host saturated: queue_ms=" + integer_text(queue_ms),
+                      queue_ms);
+    }
     attempt(item);
 }
 
+instant gateway_node::caller_deadline(call const& item)
+{
+    return item.arrived +
+           (item.facts.deadline_ms ? milliseconds(*item.facts.deadline_ms) : default_deadline);
+}
+
 void gateway_node::attempt(call_ptr const& item)
 {
     instant const now = instant::clock::now();
     if (detect_pause(now))
-        return answer_failure(
-            item, item->may_have_run ? attempt_verdict::may_have_run : attempt_verdict::not_run,
-            false, "this host was paused and its fleet view may be stale");
-    pick_failure why_not = pick_failure::none_usable;
+        return answer_failure(item, false, "this host was paused and its fleet view may be stale",
+                              ms_between(now, view_unverified_until_));
+    pick_refusal refusal;
     auto const chosen = board_.choose(
         {*item->route, item->service, item->facts.object, item->tried, item->deadline}, now,
-        why_not);
+        refusal);
     if (!chosen)
     {
-        bool const late = why_not == pick_failure::too_late;
+        bool const late = refusal.why == pick_failure::too_late;
         return answer_failure(
-            item, item->may_have_run ? attempt_verdict::may_have_run : attempt_verdict::not_run,
-            false, late ? "no upstream can answer before the deadline" : "no usable upstream");
+            item, false, late ? "no upstream can answer before the deadline" : "no usable upstream",
+            refusal.expected_ms);
     }
     item->chosen = *chosen;
     item->sent_at = now;
@@ -171,9 +185,7 @@
     std::string const reason = outcome.response
                                    ? "upstream answered with status " + std::to_string(end.status)
                                    : to_string(outcome.cause);
-    answer_failure(item,
-                   item->may_have_run ? attempt_verdict::may_have_run : attempt_verdict::not_run,
-                   now >= item->deadline, reason);
+    answer_failure(item, now >= item->deadline, reason, 0);
 }
 
 void gateway_node::report_attempt(call_ptr const& item, http_outcome const& outcome,
@@ -221,13 +233,11 @@
         client_.cancel(item->running);
 }
 
-void gateway_node::answer_failure(call_ptr const& item, attempt_verdict verdict, bool timed_out,
-                                  std::string const& reason)
+void gateway_node::answer_failure(call_ptr const& item, bool timed_out, std::string const& reason,
+                                  double expected_ms)
 {
-    if (verdict == attempt_verdict::not_run)
-        return refuse(item, reason, busy_retry_after_ms);
-    GUAVASHED_INVARIANT(item->may_have_run)
-        << "request " << item->facts.id << " failed, though no attempt may have run";
+    if (!item->may_have_run)
+        return refuse(item, reason, expected_ms);
     if (timed_out)
     {
         ++counters_.timed_out;
@@ -238,14 +248,16 @@
     answer(item, protocol_.local_response(502, item->facts.id, reason, 0), "failed", reason);
 }
 
-void gateway_node::refuse(call_ptr const& item, std::string const& reason,
-                          std::uint32_t retry_after_ms)
+void gateway_node::refuse(call_ptr const& item, std::string const& reason, double expected_ms)
 {
     GUAVASHED_INVARIANT(!item->may_have_run)
         << "request " << item->facts.id << " refused as not run, though an attempt may have run";
     ++counters_.refused;
-    answer(item, protocol_.local_response(503, item->facts.id, reason, retry_after_ms), "refused",
-           reason);
+    std::uint32_t const hint =
+        retry_hint_ms({expected_ms, ms_between(instant::clock::now(), caller_deadline(*item))},
+                      std::uniform_real_distribution<double>()(random_));
+    answer(item, protocol_.local_response(503, item->facts.id, reason, hint), "refused",
+           reason + " retry_after_ms=" + std::to_string(hint));
 }
 
 void gateway_node::answer(call_ptr const& item, http_response response, char const* outcome,
--- a/src/fleet/gateway_node.hpp
+++ b/src/fleet/gateway_node.hpp
@@ -8,6 +8,7 @@
 #include "fleet/view_messages.hpp"
 #include "routing/attempt_policy.hpp"
 #include "routing/link_budget.hpp"
+#include "routing/retry_hint.hpp"
 #include "routing/retry_token_bucket.hpp"
 #include "routing/route_table.hpp"
 #include "routing/upstream_selector.hpp"
@@ -18,6 +19,7 @@
 #include <array>
 #include <map>
 #include <memory>
+#include <random>
 #include <set>
 
 namespace guavashed
@@ -39,10 +41,10 @@
     double retry_extra = 0;
     /// Bounds connections, and with them buffers.
     std::size_t max_connections = 2048;
-    /// Capacity of the host's network link, each way; 0 for no known bound.
-    double link_bytes_per_s = 0;
     /// Bytes that bodies of requests may hold, and as many those of unfinished answers.
     std::size_t max_buffered_bytes = 64 * 1024 * 1024;
+    /// Capacity of the host's network link, each way; 0 for no known bound.
+    double link_bytes_per_s = 0;
 };
 
 struct gateway_counters
@@ -76,11 +78,11 @@
     void add_seeds(std::vector<endpoint_text> seeds);
 
     void on_request(http_request request, std::shared_ptr<http_exchange> exchange) override;
-    void on_open(frame_session_ptr const& session) override;
-    void on_frame(frame_session_ptr const& session, frame&& item) override;
     /// True for requests of idempotent routes: one that its caller counts as unread and sends again
     /// may have run.
     bool may_overlap(http_request const& request) const override;
+    void on_open(frame_session_ptr const& session) override;
+    void on_frame(frame_session_ptr const& session, frame&& item) override;
     void on_close(frame_session_ptr const& session) override;
 
 private:
@@ -149,11 +151,18 @@
                         response_metadata const& facts, attempt_verdict verdict, instant now);
     bool may_retry(call const& item, attempt_verdict verdict, bool unsent, instant now);
     void on_abandoned(call_ptr const& item);
-    void answer_failure(call_ptr const& item, attempt_verdict verdict, bool timed_out,
-                        std::string const& reason);
+    /// When the caller itself gives up, apart from the route's timeout.
+    static instant caller_deadline(call const& item);
+    /// Ends a call without an upstream's answer: refuses it if no attempt may have run, in which
+    /// case `expected_ms` is as in `refusal_facts`.
+    void answer_failure(call_ptr const& item, bool timed_out, std::string const& reason,
+                        double expected_ms);
     void answer(call_ptr const& item, http_response response, char const* outcome,
                 std::string const& reason);
-    void refuse(call_ptr const& item, std::string const& reason, std::uint32_t retry_after_ms);
+    /// `expected_ms` is as in `refusal_facts`.
+    void refuse(call_ptr const& item, std::string const& reason, double expected_ms);
+    /// Predicted time until the first configuration arrives.
+    double expected_start_ms(instant now) const;
     retry_token_bucket& allowance_of(service_name const& service);
     /// Divides the fleet's retry budget by the number of known entry hosts.
     void divide_retry_budget();
@@ -180,6 +189,9 @@
     /// Most retries that this host saves up for one service.
     double retry_burst_ = 1;
     std::uint64_t in_flight_ = 0;
+    /// Spreads the returns of refused callers.
+    std::minstd_rand random_{std::random_device{}()};
+    instant const started_ = instant::clock::now();
     bool leaving_ = false;
     /// While draining, requests that arrive from then on are refused.
     instant refuse_from_ = instant::max();
--- /dev/null
+++ b/src/routing/retry_hint.cpp
@@ -0,0 +1,30 @@
+// Computes Retry-After from the predicted end of a refusal's cause.
+#include "routing/retry_hint.hpp"
+
+#include <algorithm>
+
+namespace guavashed
+{
+namespace
+{
+
+/// Without a prediction: a few service times of a typical route.
+constexpr double default_hint_ms = 400;
+/// A caller that connects anew and finds the cause unchanged has used up its retry.
+constexpr double min_hint_ms = 100;
+/// Width of the window over which callers refused together come back, relative to the hint.
+constexpr double spread = 0.5;
+/// Callers follow a hint up to this fraction of the time that they have left.
+constexpr double followed_fraction = 1.0 / 3;
+
+} // namespace
+
+std::uint32_t retry_hint_ms(refusal_facts const& facts, double unit_random)
+{
+    double const expected = facts.expected_ms > 0 ? facts.expected_ms : default_hint_ms;
+    double const hint = std::max(min_hint_ms, expected) * (1 + spread * unit_random);
+    double const followed = std::max(min_hint_ms, facts.left_ms * followed_fraction);
+    return static_cast<std::uint32_t>(std::min(hint, followed));
+}
+
+} // namespace guavashed
--- /dev/null
+++ b/src/routing/retry_hint.hpp
@@ -0,0 +1,27 @@
+/// \file
+/// Defines retry_hint_ms, the Retry-After of a refusal.
+#pragma once
+
+#include <cstdint>
+
+namespace guavashed
+{
+
+/// What a refused caller is to wait for.
+struct refusal_facts
+{
+    /// Predicted time until a request like it would be accepted, in milliseconds; not positive
+    /// where there is no prediction.
+    double expected_ms = 0;
+    /// Time that the caller still waits for an answer, in milliseconds.
+    double left_ms = 0;
+};
+
+/// Computes when a refused caller should come back, in milliseconds. It answers bursts and
+/// restarts, in which many callers are refused within a moment: one that comes back before the
+/// cause has passed uses up its retry, one that comes back long after it is late, and all that come
+/// back together are the next burst. `unit_random` is uniform in [0, 1) and spreads them. Thread
+/// safe.
+std::uint32_t retry_hint_ms(refusal_facts const& facts, double unit_random);
+
+} // namespace guavashed
--- a/src/routing/upstream_selector.cpp
+++ b/src/routing/upstream_selector.cpp
@@ -233,25 +233,40 @@
     return found;
 }
 
-bool upstream_selector::in_time(candidate const& item, pick_request const& request,
-                                instant now) const
+double upstream_selector::lateness_ms(candidate const& item, pick_request const& request,
+                                      instant now) const
 {
     double const left = std::chrono::duration<double, std::milli>(request.deadline - now).count();
-    if (item.answer_ms > left)
-        return false;
     // A late answer from a free slot delays no other request, and the upstream has the object
     // cached afterwards.
-    return item.wait_ms <= 0 ||
-           item.cost_ms <= max_queued_answer_objectives * request.route.objective_ms;
+    double const queued_too_long =
+        item.wait_ms <= 0
+            ? 0
+            : item.cost_ms - max_queued_answer_objectives * request.route.objective_ms;
+    return std::max(item.answer_ms - left, queued_too_long);
+}
+
+double upstream_selector::next_cold_send_ms(pick_request const& request, instant now) const
+{
+    auto const of_service = by_service_.find(request.service);
+    if (of_service == by_service_.end())
+        return 0;
+    instant earliest = instant::max();
+    for (auto const* state : of_service->second)
+        if (now < state->cold_until && may_send_while_cold(*state))
+            earliest = std::min(earliest, state->next_cold_send);
+    return earliest == instant::max() ? 0 : remaining_ms(earliest, now);
 }
 
 std::optional<pick> upstream_selector::choose(pick_request const& request, instant now,
-                                              pick_failure& why_not)
+                                              pick_refusal& refusal)
 {
     std::vector<candidate> found = candidates(request, now);
-    why_not = pick_failure::none_usable;
     if (found.empty())
+    {
+        refusal = {pick_failure::none_usable, next_cold_send_ms(request, now)};
         return std::nullopt;
+    }
     bool const keyed = request.route.affinity && !request.object.empty();
     std::uint64_t const object = keyed ? object_hash(request.service, request.object) : random_();
     rank(found, object, region_shares_of(request.service));
@@ -285,9 +300,11 @@
         else
             best = best_at_home;
     }
-    why_not = pick_failure::too_late;
-    if (!in_time(*best, request, now))
+    if (double const late = lateness_ms(*best, request, now); late > 0)
+    {
+        refusal = {pick_failure::too_late, late};
         return std::nullopt;
+    }
     upstream_state& state = *best->state;
     ++state.in_flight;
     if (now < state.cold_until)
--- a/src/routing/upstream_selector.hpp
+++ b/src/routing/upstream_selector.hpp
@@ -78,6 +78,14 @@
     too_late
 };
 
+/// Why no upstream was picked, and for how long that is expected to hold.
+struct pick_refusal
+{
+    pick_failure why = pick_failure::none_usable;
+    /// Predicted time until a request like this one finds an upstream; 0 if not known.
+    double expected_ms = 0;
+};
+
 /// Outcome of an attempt, and what was measured or reported with it.
 struct attempt_report
 {
@@ -106,9 +114,9 @@
     /// Replaces the settings of the services.
     void configure(routing_config const& config);
 
-    /// Picks the upstream for an attempt and counts the request as in flight there. Sets `why_not`
+    /// Picks the upstream for an attempt and counts the request as in flight there. Sets `refusal`
     /// if none is returned.
-    std::optional<pick> choose(pick_request const& request, instant now, pick_failure& why_not);
+    std::optional<pick> choose(pick_request const& request, instant now, pick_refusal& refusal);
     /// Updates the upstream's state with the outcome of an attempt. Precondition: `chosen` was
     /// returned by `choose`, and each pick is reported once.
     void report(pick const& chosen, std::string const& route, attempt_report const& outcome,
@@ -126,6 +134,8 @@
         /// Requests of other entry hosts there, derived from its last load report.
         double other_hosts_load = 0;
         instant other_hosts_load_at;
+        /// As in `upstream_load`, reported at `other_hosts_load_at`.
+        double pace = 1;
         /// Ratio of its service time to the usual one of its service.
         double slowness = 1;
         double failure_rate = 0;
@@ -134,8 +144,6 @@
         std::uint32_t failures_in_row = 0;
         instant ejected_until;
         instant cold_until;
-        /// As in `upstream_load`, reported at `other_hosts_load_at`.
-        double pace = 1;
         /// Earliest time of the next request from this host while it is cold.
         instant next_cold_send;
         /// A different upstream answers at its address.
@@ -143,6 +151,9 @@
 
         /// Weight of `other_hosts_load` at `now`, decayed by its age.
         double load_weight(instant now) const;
+        /// Expected ratio of the machine's work time to its usual one: the last report, decayed by
+        /// its age.
+        double expected_pace(instant now) const;
         /// Weight of `slowness` and `failure_rate` at `now`, decayed by their age.
         double rates_weight(instant now) const;
     };
@@ -151,9 +162,6 @@
     {
         /// At the object's home, and at any other upstream.
         double home_ms = 0;
-        /// Expected ratio of the machine's work time to its usual one: the last report, decayed by
-        /// its age.
-        double expected_pace(instant now) const;
         double other_ms = 0;
     };
     struct candidate
@@ -180,8 +188,11 @@
     /// Sets the scores and the affinity ranks.
     void rank(std::vector<candidate>& found, std::uint64_t object,
               std::vector<region_share> const& shares) const;
-    /// Whether the predicted answer is early enough to send the request.
-    bool in_time(candidate const& item, pick_request const& request, instant now) const;
+    /// By how much the predicted answer is too late to send the request; not positive if it is
+    /// early enough.
+    double lateness_ms(candidate const& item, pick_request const& request, instant now) const;
+    /// Time until this host may send to one of the service's cold upstreams; 0 if there is none.
+    double next_cold_send_ms(pick_request const& request, instant now) const;
     /// Sets the predicted wait, latency and cost.
     void predict(candidate& item, pick_request const& request, instant now);
     /// Estimated number of requests at the upstream, of all entry hosts.
--- a/test/correctness/routing/routing_support.hpp
+++ b/test/correctness/routing/routing_support.hpp
@@ -84,10 +84,10 @@
                             std::int64_t now_ms, std::set<upstream_name> const& tried = {})
 {
     static route_config const route = roster_route();
-    pick_failure why_not{};
+    pick_refusal refusal;
     auto const chosen =
         board.choose({route, route.parts[0].service, object, tried, at_ms(now_ms + 1000)},
-                     at_ms(now_ms), why_not);
+                     at_ms(now_ms), refusal);
     return chosen ? chosen->id.value() : std::string();
 }
 
--- a/test/correctness/routing/upstream_selector_test.cpp
+++ b/test/correctness/routing/upstream_selector_test.cpp
@@ -125,10 +125,10 @@
     {
         route_config route = roster_route();
         route.regions.push_back(region_name("south"));
-        pick_failure why_not{};
+        pick_refusal refusal;
         CHECK_FALSE(board.choose({route, route.parts[0].service, "block 7", {}, at_ms(1000)},
-                                 at_ms(30), why_not));
-        CHECK(why_not == pick_failure::none_usable);
+                                 at_ms(30), refusal));
+        CHECK(refusal.why == pick_failure::none_usable);
     }
 }
 
