--- a/src/transport/frame_link.cpp
+++ b/src/transport/frame_link.cpp
@@ -20,9 +20,7 @@
 /// A session of the fleet register is closed after three consecutive pings were missed.
 constexpr std::chrono::milliseconds fleet_ping_interval{450};
 constexpr std::chrono::milliseconds fleet_receive_timeout{1500};
-/// Three round trips between regions. A host without power answers nothing, and is tried again soon
-/// after it is back.
-constexpr std::chrono::milliseconds connect_timeout{350};
+constexpr std::chrono::milliseconds connect_timeout{1000};
 constexpr std::chrono::milliseconds min_backoff{50};
 constexpr std::chrono::milliseconds max_backoff{1000};
 
