Put back an outward reason, and name a constant as it is named

Cause: the reason "joins" of a membership_step line had been reworded against the list of outward names; a comment named seat_use, which is seat_validity. Change: a word each.

--- a/src/control/control_presence.cpp
+++ b/src/control/control_presence.cpp
@@ -20,7 +20,7 @@
 /// At most this much of the replica's own remaining freshness is added to the configuration lease.
 constexpr milliseconds max_freshness_left{400};
 /// A host that has been absent for this long loses its seat. Entry hosts stop using their share
-/// earlier (`seat_use` in entry_state.cpp), so that a seat never counts twice.
+/// earlier (`seat_validity` in entry_state.cpp), so that a seat never counts twice.
 constexpr std::chrono::hours seat_retention{2};
 
 } // namespace
--- a/src/fleet/membership_planner.cpp
+++ b/src/fleet/membership_planner.cpp
@@ -93,7 +93,7 @@
     if (next.voters() < wanted_voters)
     {
         next.members.push_back({joiner->greeting.host, joiner->greeting.disk, false});
-        return membership_step{std::move(next), joiner->greeting.host, "joins the group"};
+        return membership_step{std::move(next), joiner->greeting.host, "joins"};
     }
     raft_member const* replaceable = nullptr;
     for (auto const& member : next.members)
