--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -117,13 +117,13 @@
         idle.push_back(std::move(item));
     }
 
-    /// Ends the call that holds most bytes of an answer while all together hold too many: bytes
-    /// without end must not cost the answers of other calls.
+    /// Ends the call that holds most memory while all together hold too much, first among answers
+    /// that state no length: bytes without end must not cost the answers of other calls.
     void bound_buffered();
 
     asio::io_context& context_;
     std::size_t const max_buffered_bytes_;
-    /// Bytes of unfinished answers.
+    /// Memory that the bodies of unfinished answers take.
     std::size_t buffered_bytes_ = 0;
     std::unordered_map<endpoint_text, std::vector<connection_ptr>> idle_;
     std::unordered_map<http_call_id, std::weak_ptr<exchange>> running_;
@@ -157,6 +157,7 @@
     }
 
     std::size_t buffered_bytes() const { return buffered_bytes_; }
+    bool states_length() const { return parser_ && parser_->content_length().has_value(); }
 
     /// Ends the call because its answer takes the memory of others.
     void end_as_oversized()
@@ -251,7 +252,7 @@
             return on_read(code);
         if (!parser_->is_done())
         {
-            std::size_t const held = parser_->get().body().size();
+            std::size_t const held = parser_->get().body().capacity();
             client_->buffered_bytes_ += held - std::exchange(buffered_bytes_, held);
             client_->bound_buffered();
             return read_some();
@@ -348,9 +349,16 @@
         return;
     std::shared_ptr<exchange> largest;
     for (auto const& [id, item] : running_)
-        if (auto const call = item.lock();
-            call && (!largest || call->buffered_bytes() > largest->buffered_bytes()))
+    {
+        auto const call = item.lock();
+        if (!call || call->buffered_bytes() == 0)
+            continue;
+        bool const preferred = largest && largest->states_length() && !call->states_length();
+        bool const same_kind = largest && largest->states_length() == call->states_length();
+        if (!largest || preferred ||
+            (same_kind && call->buffered_bytes() > largest->buffered_bytes()))
             largest = call;
+    }
     if (largest)
         largest->end_as_oversized();
 }
--- a/src/transport/http_session.hpp
+++ b/src/transport/http_session.hpp
@@ -24,6 +24,12 @@
 /// the counters.
 struct http_server_state
 {
+    http_server_state(event_loop& owner_loop, http_handler& request_handler,
+                      http_server_limits initial_limits)
+        : owner(owner_loop), handler(request_handler), limits(initial_limits)
+    {
+    }
+
     event_loop& owner;
     http_handler& handler;
     http_server_limits limits;
