--- a/src/routing/upstream_feedback.cpp
+++ b/src/routing/upstream_feedback.cpp
@@ -66,7 +66,7 @@
     if (known == service_times_.end())
         return;
     double& expected = chosen.place == 0 ? known->second.home_ms : known->second.other_ms;
-    // What other work on the machine costs passes soon and indicates nothing about the upstream.
+    // What other work on its host costs passes soon and indicates nothing about the upstream.
     double const work =
         std::max(1.0, took_ms - round_trip_ms(state) - chosen.wait_ms) / std::max(1.0, state.pace);
     double const ratio = std::clamp(work / std::max(1.0, expected), 0.3, max_slowness);
--- a/src/routing/upstream_selector.hpp
+++ b/src/routing/upstream_selector.hpp
@@ -38,8 +38,8 @@
     std::uint32_t running = 0;
     std::uint32_t waiting = 0;
     std::uint32_t slots = 0;
-    /// How long work takes on the upstream's machine at the moment, relative to its usual time; a
-    /// machine is shared with others.
+    /// How long work takes on the upstream's host at the moment, relative to its usual time; a
+    /// host is shared with others.
     double pace = 1;
 };
 
@@ -151,7 +151,7 @@
 
         /// Weight of `other_hosts_load` at `now`, decayed by its age.
         double load_weight(instant now) const;
-        /// Expected ratio of the machine's work time to its usual one: the last report, decayed by
+        /// Expected ratio of its host's work time to its usual one: the last report, decayed by
         /// its age.
         double expected_pace(instant now) const;
         /// Weight of `slowness` and `failure_rate` at `now`, decayed by their age.
--- a/test/correctness/routing/upstream_selector_test.cpp
+++ b/test/correctness/routing/upstream_selector_test.cpp
@@ -235,9 +235,9 @@
     CHECK(pick_for(board, "block 7", 1200) == home);
 }
 
-// Guards against taking the noise of a shared machine for a sick upstream, and against sending work
-// to a machine that is slow at the moment.
-SCENARIO("upstreams that report the pace of their machine")
+// Guards against taking the noise of a shared host for a sick upstream, and against sending work
+// to a host that is slow at the moment.
+SCENARIO("upstreams that report the pace of their host")
 {
     upstream_selector board = board_of(whole_view(8));
     std::string const home = pick_for(board, "block 7", 0);
@@ -248,7 +248,7 @@
         outcome.load = upstream_load{1, 0, 4, pace};
         board.report(pick_of(home), "checks", outcome, at_ms(now_ms));
     };
-    GIVEN("a home whose machine takes five times as long at the moment")
+    GIVEN("a home whose host takes five times as long at the moment")
     {
         report_pace(5, 100, 800);
         THEN("the object's second upstream gets the next request")
@@ -260,7 +260,7 @@
             CHECK(pick_for(board, "block 7", 1500) == home);
         }
     }
-    GIVEN("answers that are slow by the machine's pace alone")
+    GIVEN("answers that are slow by the host's pace alone")
     {
         std::int64_t now = 100;
         for (int i = 0; i < 30; ++i, now += 20)
