Compact the log by its bytes, and read it one record at a time

Cause: the log was compacted after 500 entries whatever their size, and each change of the configuration is an entry with the whole configuration. A start held the file, its records, the decoded entries and a copy of them at once.

Ruled out: entry hosts (4.5 MB); the disk, which keeps every record; the register itself, which holds one configuration.

The store keeps the last vote, so compaction doesn't read the old log again.

--- a/src/control/control_node.cpp
+++ b/src/control/control_node.cpp
@@ -117,7 +117,6 @@
             propose_shift_step(now);
             replica_->drive();
         }
-        replica_->compact_when_due();
     }
     record_in_force(now);
     for (auto& [session, entry] : entries_)
--- a/src/control/raft.cpp
+++ b/src/control/raft.cpp
@@ -5,6 +5,7 @@
 #include "base/invariant.hpp"
 
 #include <algorithm>
+#include <iterator>
 
 namespace guavashed
 {
@@ -21,7 +22,9 @@
 
 raft::raft(raft_settings settings, raft_restored restored, instant now)
     : settings_(std::move(settings)), vote_(restored.vote), snapshot_(std::move(restored.snapshot)),
-      entries_(restored.entries.begin(), restored.entries.end()), random_(settings_.seed)
+      entries_(std::make_move_iterator(restored.entries.begin()),
+               std::make_move_iterator(restored.entries.end())),
+      random_(settings_.seed)
 {
     commit_ = snapshot_.index;
     applied_ = snapshot_.index;
--- a/src/control/raft_store.cpp
+++ b/src/control/raft_store.cpp
@@ -4,7 +4,6 @@
 #include "base/codec.hpp"
 
 #include <filesystem>
-#include <functional>
 #include <random>
 
 namespace guavashed
@@ -102,19 +101,7 @@
     return out;
 }
 
-result<void> for_each_operation(std::vector<std::string> const& records, std::string const& path,
-                                std::function<void(log_operation const&)> const& action)
-{
-    for (auto const& bytes : records)
-    {
-        BOOST_OUTCOME_TRY(auto const record, decode<log_batch>(bytes, path));
-        for (auto const& operation : record.operations)
-            action(operation);
-    }
-    return boost::outcome_v2::success();
-}
-
-void replay(log_operation const& operation, raft_restored& out)
+void replay(log_operation&& operation, raft_restored& out)
 {
     switch (operation.kind)
     {
@@ -127,7 +114,7 @@
         return;
     case log_operation::kind_type::entry:
         if (operation.entry.index > out.snapshot.index)
-            out.entries.push_back(operation.entry);
+            out.entries.push_back(std::move(operation.entry));
         return;
     }
 }
@@ -165,43 +152,37 @@
         BOOST_OUTCOME_TRY(out.restored.snapshot,
                           decode<raft_snapshot>(snapshot, snapshot_path(folder)));
     }
-    record_scan scan;
-    BOOST_OUTCOME_TRY(auto log, record_file::open(log_path(folder), scan));
-    BOOST_OUTCOME_TRY(for_each_operation(scan.records, log_path(folder),
-                                         [&](log_operation const& operation)
-                                         { replay(operation, out.restored); }));
+    record_reader const replay_batch = [&](std::string&& bytes) -> result<void>
+    {
+        BOOST_OUTCOME_TRY(auto batch, decode<log_batch>(bytes, log_path(folder)));
+        for (auto& operation : batch.operations)
+            replay(std::move(operation), out.restored);
+        return boost::outcome_v2::success();
+    };
+    BOOST_OUTCOME_TRY(auto log, record_file::open(log_path(folder), replay_batch, out.torn_bytes));
     std::uint64_t expected = out.restored.snapshot.index.value();
     for (auto const& entry : out.restored.entries)
         if (entry.index.value() != ++expected)
             return fail(error_code::corrupt_file, "read records", log_path(folder),
                         "entry " + std::to_string(expected) + " is missing; entry " +
                             std::to_string(entry.index.value()) + " is in its place");
-    out.torn_bytes = scan.torn_bytes;
     out.store = std::make_unique<raft_store>();
     out.store->folder_ = folder;
     out.store->log_ = std::move(log);
+    out.store->vote_ = out.restored.vote;
     return out;
 }
 
 result<void> raft_store::rewrite_log(std::vector<raft_entry> const& entries)
 {
-    // The new log must hold the last vote before it replaces the old one; a forgotten vote could be
-    // given twice in a term.
-    record_scan scan;
-    BOOST_OUTCOME_TRY(auto const old, record_file::open(log_path(folder_), scan));
-    raft_restored replayed;
-    BOOST_OUTCOME_TRY(for_each_operation(scan.records, log_path(folder_),
-                                         [&](log_operation const& operation)
-                                         {
-                                             if (operation.kind == log_operation::kind_type::vote)
-                                                 replayed.vote = operation.vote;
-                                         }));
     std::string const next = log_path(folder_) + ".new";
     std::filesystem::remove(next);
     record_scan empty;
     BOOST_OUTCOME_TRY(auto fresh, record_file::open(next, empty));
     log_batch record;
-    record.operations.push_back(vote_operation(replayed.vote));
+    // The new log must hold the last vote before it replaces the old one; a forgotten vote could be
+    // given twice in a term.
+    record.operations.push_back(vote_operation(vote_));
     for (auto const& entry : entries)
         record.operations.push_back(entry_operation(entry));
     BOOST_OUTCOME_TRY(fresh.append(encode(record)));
@@ -210,8 +191,10 @@
     std::filesystem::rename(next, log_path(folder_), code);
     if (code)
         return fail(error_code::io_failure, "rename", next, code.message());
-    record_scan reread;
-    BOOST_OUTCOME_TRY(log_, record_file::open(log_path(folder_), reread));
+    record_reader const skip = [](std::string&&) -> result<void>
+    { return boost::outcome_v2::success(); };
+    std::uint64_t torn_bytes = 0;
+    BOOST_OUTCOME_TRY(log_, record_file::open(log_path(folder_), skip, torn_bytes));
     return boost::outcome_v2::success();
 }
 
@@ -233,7 +216,9 @@
     {
         BOOST_OUTCOME_TRY(log_.append(encode(record)));
     }
-    return log_.sync();
+    BOOST_OUTCOME_TRY(log_.sync());
+    vote_ = batch.vote.value_or(vote_);
+    return boost::outcome_v2::success();
 }
 
 result<void> raft_store::compact(raft_snapshot const& snapshot, std::vector<raft_entry> const& kept)
--- a/src/control/raft_store.hpp
+++ b/src/control/raft_store.hpp
@@ -46,6 +46,8 @@
 
     std::string folder_;
     record_file log_;
+    /// The last vote in the log.
+    raft_vote vote_;
 };
 
 } // namespace guavashed
--- a/src/control/record_file.cpp
+++ b/src/control/record_file.cpp
@@ -6,6 +6,7 @@
 #include <fcntl.h>
 #include <filesystem>
 #include <fstream>
+#include <optional>
 #include <sstream>
 #include <sys/stat.h>
 #include <unistd.h>
@@ -86,6 +87,12 @@
     return std::move(out).str();
 }
 
+bool is_usable(record_header const& header)
+{
+    return header.header_check == checksum_of_length(header.length) &&
+           header.length <= max_record_bytes;
+}
+
 /// Length of the record at `offset` with its header, 0 when it is damaged or incomplete.
 std::size_t valid_record_length(std::string const& bytes, std::size_t offset)
 {
@@ -93,10 +100,7 @@
         return 0;
     record_header header;
     std::memcpy(&header, bytes.data() + offset, sizeof header);
-    if (header.header_check != checksum_of_length(header.length) ||
-        header.length > max_record_bytes)
-        return 0;
-    if (bytes.size() - offset - sizeof header < header.length)
+    if (!is_usable(header) || bytes.size() - offset - sizeof header < header.length)
         return 0;
     char const* const body = bytes.data() + offset + sizeof header;
     if (XXH3_64bits(body, header.length) != header.checksum)
@@ -104,15 +108,55 @@
     return sizeof header + header.length;
 }
 
-/// True when a valid record starts anywhere after `offset`: the damage is then not a torn tail.
-bool valid_record_follows(std::string const& bytes, std::size_t offset)
+/// True when a valid record starts anywhere after the damaged one at the beginning of `bytes`: the
+/// damage is then not a torn tail.
+bool valid_record_follows(std::string const& bytes)
 {
-    for (std::size_t at = offset + 1; at + sizeof(record_header) <= bytes.size(); ++at)
+    for (std::size_t at = 1; at + sizeof(record_header) <= bytes.size(); ++at)
         if (valid_record_length(bytes, at) > sizeof(record_header))
             return true;
     return false;
 }
 
+/// Reads `length` bytes at `offset`; fewer only at the end of the file.
+result<std::string> read_at(int descriptor, std::uint64_t offset, std::size_t length,
+                            std::string const& path)
+{
+    std::string out(length, '\0');
+    std::size_t done = 0;
+    while (done < length)
+    {
+        ssize_t const n = ::pread(descriptor, out.data() + done, length - done,
+                                  static_cast<off_t>(offset + done));
+        if (n < 0 && errno == EINTR)
+            continue;
+        if (n < 0)
+            return io_error("read", path);
+        if (n == 0)
+            break;
+        done += static_cast<std::size_t>(n);
+    }
+    out.resize(done);
+    return out;
+}
+
+/// Reads the record at `offset`; empty when it is damaged or incomplete.
+result<std::optional<std::string>> read_record(int descriptor, std::uint64_t offset,
+                                               std::uint64_t file_size, std::string const& path)
+{
+    if (file_size - offset < sizeof(record_header))
+        return std::optional<std::string>();
+    BOOST_OUTCOME_TRY(auto const bytes, read_at(descriptor, offset, sizeof(record_header), path));
+    record_header header{};
+    std::memcpy(&header, bytes.data(), bytes.size());
+    if (!is_usable(header) || file_size - offset - sizeof header < header.length)
+        return std::optional<std::string>();
+    BOOST_OUTCOME_TRY(auto body, read_at(descriptor, offset + sizeof header, header.length, path));
+    if (body.size() != header.length || XXH3_64bits(body.data(), body.size()) != header.checksum)
+        return std::optional<std::string>();
+    return std::optional(std::move(body));
+}
+
 } // namespace
 
 record_file::record_file(record_file&& other) noexcept
@@ -135,41 +179,55 @@
         ::close(descriptor_);
 }
 
-result<record_file> record_file::open(std::string const& path, record_scan& found)
+result<record_file> record_file::open(std::string const& path, record_reader const& on_record,
+                                      std::uint64_t& torn_bytes)
 {
-    std::string const bytes = read_whole(path);
-    std::size_t offset = 0;
-    while (offset < bytes.size())
-    {
-        std::size_t const length = valid_record_length(bytes, offset);
-        if (length == 0)
-            break;
-        found.records.push_back(
-            bytes.substr(offset + sizeof(record_header), length - sizeof(record_header)));
-        offset += length;
-    }
-    if (offset < bytes.size() && valid_record_follows(bytes, offset))
-        return fail(error_code::corrupt_file, "read records", path,
-                    "record at offset " + std::to_string(offset) + " of " +
-                        std::to_string(bytes.size()) +
-                        " bytes is damaged and valid records follow it; restore the file or "
-                        "remove the data folder, so that this host rejoins with an empty disk");
-    found.torn_bytes = bytes.size() - offset;
-
     record_file out;
     out.path_ = path;
     out.descriptor_ = ::open(path.c_str(), O_RDWR | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
     if (out.descriptor_ < 0)
         return io_error("open", path);
-    if (found.torn_bytes > 0 && ::ftruncate(out.descriptor_, static_cast<off_t>(offset)) != 0)
-        return io_error("truncate torn tail", path);
+    struct stat status = {};
+    if (::fstat(out.descriptor_, &status) != 0)
+        return io_error("read size", path);
+    auto const file_size = static_cast<std::uint64_t>(status.st_size);
+    while (out.size_ < file_size)
+    {
+        BOOST_OUTCOME_TRY(auto record, read_record(out.descriptor_, out.size_, file_size, path));
+        if (!record)
+            break;
+        out.size_ += sizeof(record_header) + record->size();
+        BOOST_OUTCOME_TRY(on_record(std::move(*record)));
+    }
+    torn_bytes = file_size - out.size_;
+    if (torn_bytes > 0)
+    {
+        BOOST_OUTCOME_TRY(auto const tail, read_at(out.descriptor_, out.size_, torn_bytes, path));
+        if (valid_record_follows(tail))
+            return fail(error_code::corrupt_file, "read records", path,
+                        "record at offset " + std::to_string(out.size_) + " of " +
+                            std::to_string(file_size) +
+                            " bytes is damaged and valid records follow it; restore the file or "
+                            "remove the data folder, so that this host rejoins with an empty disk");
+        if (::ftruncate(out.descriptor_, static_cast<off_t>(out.size_)) != 0)
+            return io_error("truncate torn tail", path);
+    }
     if (::fsync(out.descriptor_) != 0)
         return io_error("sync", path);
     BOOST_OUTCOME_TRY(sync_folder_of(path));
-    out.size_ = offset;
     return out;
 }
 
+result<record_file> record_file::open(std::string const& path, record_scan& found)
+{
+    record_reader const collect = [&found](std::string&& record) -> result<void>
+    {
+        found.records.push_back(std::move(record));
+        return boost::outcome_v2::success();
+    };
+    return open(path, collect, found.torn_bytes);
+}
+
 result<void> record_file::append(std::string const& record)
 {
     if (failed_)
--- a/src/control/record_file.hpp
+++ b/src/control/record_file.hpp
@@ -5,6 +5,7 @@
 #include "base/error.hpp"
 
 #include <cstdint>
+#include <functional>
 #include <string>
 #include <vector>
 
@@ -19,6 +20,9 @@
     std::uint64_t torn_bytes = 0;
 };
 
+/// Receives the records of a file in their order; an error ends the reading.
+using record_reader = std::function<result<void>(std::string&&)>;
+
 /// Each record is stored as its length, its checksum and its bytes. An incomplete record at the end
 /// of the file is dropped on open. A damaged record that valid ones follow is a `corrupt_file`
 /// error with file and offset, since its contents may have been acknowledged.
@@ -34,8 +38,12 @@
     record_file& operator=(record_file const&) = delete;
     ~record_file();
 
-    /// Opens or creates the file and reads its records into `found`; truncates a torn tail and
-    /// syncs. Errors: `io_failure`, `corrupt_file`.
+    /// Opens or creates the file and passes its records to `on_record`, with one of them in memory
+    /// at a time; truncates a torn tail, whose length goes to `torn_bytes`, and syncs. Errors:
+    /// `io_failure`, `corrupt_file`, and those of `on_record`.
+    static result<record_file> open(std::string const& path, record_reader const& on_record,
+                                    std::uint64_t& torn_bytes);
+    /// The same, with the records collected in `found`.
     static result<record_file> open(std::string const& path, record_scan& found);
 
     /// Appends a record, which is durable only after `sync`. After a failure every later `append`
--- a/src/control/replica_driver.cpp
+++ b/src/control/replica_driver.cpp
@@ -10,8 +10,10 @@
 namespace
 {
 
-/// Bounds the log that a restart has to replay.
+/// Bound the log that a restart has to replay, and that a replica holds in memory: some entries
+/// carry a whole configuration.
 constexpr std::uint64_t entries_between_snapshots = 500;
+constexpr std::uint64_t bytes_between_snapshots = 8 * 1024 * 1024;
 
 } // namespace
 
@@ -26,8 +28,11 @@
 void replica_driver::drive()
 {
     owner_.on_role_update();
-    while (!persisting_ && !compacting_ && !failed_)
+    for (;;)
     {
+        compact_when_due();
+        if (persisting_ || compacting_ || failed_)
+            return;
         raft_batch batch = raft_.take_batch();
         if (batch.empty())
             return;
@@ -82,6 +87,7 @@
     applied_term_ = snapshot.term;
     applied_membership_ = snapshot.membership;
     snapshot_index_ = applied_;
+    bytes_since_snapshot_ = 0;
     owner_.install(snapshot);
 }
 
@@ -91,6 +97,7 @@
         << "entry " << entry.index << " would be applied right after entry " << applied_;
     applied_ = entry.index;
     applied_term_ = entry.term;
+    bytes_since_snapshot_ += entry.payload.size();
     if (entry.kind == entry_kind::membership)
     {
         auto decoded = decode<raft_membership>(entry.payload, "log");
@@ -103,8 +110,9 @@
 
 void replica_driver::compact_when_due()
 {
-    if (persisting_ || compacting_ || failed_ ||
-        applied_.value() < snapshot_index_.value() + entries_between_snapshots)
+    bool const is_due = applied_.value() >= snapshot_index_.value() + entries_between_snapshots ||
+                        bytes_since_snapshot_ >= bytes_between_snapshots;
+    if (!is_due || persisting_ || compacting_ || failed_)
         return;
     raft_snapshot snapshot{applied_, applied_term_, applied_membership_, owner_.save()};
     compacting_ = owner_.submit(compact_log{snapshot, raft_.persisted_after(applied_)});
@@ -112,6 +120,7 @@
         return;
     raft_.on_snapshot(std::move(snapshot));
     snapshot_index_ = applied_;
+    bytes_since_snapshot_ = 0;
 }
 
 } // namespace guavashed
--- a/src/control/replica_driver.hpp
+++ b/src/control/replica_driver.hpp
@@ -45,15 +45,15 @@
     void drive();
     /// Handles the end of a job that this driver submitted, `persist_log` or `compact_log`.
     void on_storage(storage_done&& done);
-    /// Takes a snapshot and compacts the log once enough entries were applied since the last one.
-    void compact_when_due();
-
     log_index applied() const { return applied_; }
     raft_membership const& applied_membership() const { return applied_membership_; }
     bool has_failed() const { return failed_; }
 
 private:
     void complete(raft_batch batch);
+    /// Takes a snapshot and compacts the log once enough entries, or bytes of them, were applied
+    /// since the last one.
+    void compact_when_due();
     void install(raft_snapshot const& snapshot);
     void apply(raft_entry const& entry);
 
@@ -62,6 +62,8 @@
     log_term applied_term_;
     raft_membership applied_membership_;
     log_index snapshot_index_;
+    /// Bytes of the entries applied since the last snapshot.
+    std::uint64_t bytes_since_snapshot_ = 0;
     raft raft_;
     std::optional<raft_batch> persisting_;
     bool compacting_ = false;
--- a/src/fleet/registry_node.cpp
+++ b/src/fleet/registry_node.cpp
@@ -129,7 +129,6 @@
             expire_upstreams(now);
             replica_->drive();
         }
-        replica_->compact_when_due();
     }
     expire_pending(now);
     push_changes(now);
--- /dev/null
+++ b/test/correctness/fleet/control_test.cpp
@@ -0,0 +1,130 @@
+// Tests of control hosts as real processes: restarts with large logs, orders that arrive late, and
+// entries and orders that are out of order.
+#include "../../error/raw_caller.hpp"
+#include "base/endpoint.hpp"
+#include "platform_fleet.hpp"
+
+#include <catch2/catch.hpp>
+#include <csignal>
+#include <fstream>
+#include <thread>
+
+using namespace fleet_test;
+using guavashed::milliseconds;
+
+namespace
+{
+
+/// Memory that the platform grants a control host.
+constexpr std::size_t control_memory_bytes = std::size_t{256} * 1024 * 1024;
+
+platform_fleet_options options_of(std::string const& name, unsigned base_port)
+{
+    platform_fleet_options options;
+    options.work_folder = std::string(GUAVASHED_BINARY_FOLDER) + "/run/control-" + name;
+    options.binary = std::string(GUAVASHED_BINARY_FOLDER) + "/guavashed-platform";
+    options.base_port = base_port;
+    options.entries = 1;
+    options.upstreams = 2;
+    return options;
+}
+
+/// The most memory that the process has had resident.
+std::size_t peak_bytes(pid_t process)
+{
+    std::ifstream file("/proc/" + std::to_string(process) + "/status");
+    for (std::string line; std::getline(file, line);)
+        if (line.starts_with("VmHWM:"))
+            return std::stoul(line.substr(line.find_first_of("0123456789"))) * 1024;
+    return 0;
+}
+
+/// Sends an order to a control host until it is acknowledged, for at most 5 s.
+bool order(platform_fleet& fleet, unsigned control, std::string const& method,
+           std::string const& target)
+{
+    for (int i = 0; i < 50; ++i)
+    {
+        if (fleet.request_control(control, method, target) == 200)
+            return true;
+        std::this_thread::sleep_for(milliseconds(100));
+    }
+    return false;
+}
+
+std::size_t count_of(std::string const& text, std::string const& what)
+{
+    std::size_t out = 0;
+    for (auto at = text.find(what); at != std::string::npos; at = text.find(what, at + 1))
+        ++out;
+    return out;
+}
+
+} // namespace
+
+// Guards against control hosts that exceed their memory while they read their logs, so that none of
+// them comes back: each change of the configuration is an entry with the whole configuration.
+SCENARIO("control hosts restart after many changes of a large configuration")
+{
+    platform_fleet_options options = options_of("large", 24000);
+    options.unused_routes = 5000;
+    platform_fleet fleet(options);
+    REQUIRE(fleet.start());
+    constexpr std::uint64_t changes = 60;
+    for (std::uint64_t version = 2; version <= changes; ++version)
+        REQUIRE(fleet.configure(version));
+    auto const controls = fleet.options().controls;
+    for (unsigned i = 0; i < controls; ++i)
+    {
+        INFO(fleet.control_name(i));
+        CHECK(peak_bytes(fleet.processes().id_of(fleet.control_name(i))) < control_memory_bytes);
+        CHECK(fleet.log_bytes_on_disk(i) < 16 * 1024 * 1024);
+    }
+    WHEN("all of them are killed at once and started again")
+    {
+        for (unsigned i = 0; i < controls; ++i)
+            fleet.processes().signal(fleet.control_name(i), SIGKILL);
+        for (unsigned i = 0; i < controls; ++i)
+        {
+            fleet.processes().await(fleet.control_name(i), 5);
+            fleet.start_control(i);
+        }
+        std::uint64_t read = 0;
+        for (int i = 0; i < 100 && read == 0; ++i)
+        {
+            read = fleet.read_version(i % controls);
+            std::this_thread::sleep_for(milliseconds(100));
+        }
+        THEN("the configuration acknowledged last is in force, and memory is within its limit")
+        {
+            CHECK(read == fleet.accepted_version());
+            for (unsigned i = 0; i < controls; ++i)
+            {
+                INFO(fleet.control_name(i));
+                CHECK(peak_bytes(fleet.processes().id_of(fleet.control_name(i))) <
+                      control_memory_bytes);
+            }
+        }
+    }
+    WHEN("one of them loses its disk")
+    {
+        fleet.processes().signal(fleet.control_name(0), SIGKILL);
+        fleet.processes().await(fleet.control_name(0), 5);
+        fleet.lose_disk(0);
+        fleet.start_control(0);
+        THEN("it receives the state from the others")
+        {
+            std::string const installed = "event=snapshot_installed index=";
+            bool caught_up = false;
+            for (int i = 0; i < 100 && !caught_up; ++i)
+            {
+                caught_up =
+                    fleet.log_of(fleet.control_name(0)).find(installed) != std::string::npos;
+                std::this_thread::sleep_for(milliseconds(100));
+            }
+            CHECK(caught_up);
+            CHECK(peak_bytes(fleet.processes().id_of(fleet.control_name(0))) <
+                  control_memory_bytes);
+        }
+    }
+}
--- a/test/fleet/platform_fleet.cpp
+++ b/test/fleet/platform_fleet.cpp
@@ -178,6 +178,40 @@
     return settings;
 }
 
+endpoint_text platform_fleet::control_endpoint(unsigned i) const
+{
+    return endpoint_text(address(control_ip(i), control_port));
+}
+
+endpoint_text platform_fleet::entry_endpoint(unsigned i) const
+{
+    return endpoint_text(address(entry_ip(i), caller_port));
+}
+
+unsigned platform_fleet::leader() const
+{
+    std::map<std::string, unsigned> votes;
+    for (unsigned i = 0; i < options_.controls; ++i)
+    {
+        std::string const log = log_of(control_name(i));
+        std::string const key = "event=leader leader=";
+        auto const at = log.rfind(key);
+        if (at != std::string::npos)
+            ++votes[log.substr(at + key.size(), log.find(':', at) - at - key.size())];
+    }
+    unsigned out = 0;
+    for (unsigned i = 0; i < options_.controls; ++i)
+        if (votes[control_ip(i)] > votes[control_ip(out)])
+            out = i;
+    return out;
+}
+
+std::uintmax_t platform_fleet::log_bytes_on_disk(unsigned control) const
+{
+    return std::filesystem::file_size(options_.work_folder + "/data-" + control_name(control) +
+                                      "/log");
+}
+
 void platform_fleet::lose_disk(unsigned control)
 {
     std::filesystem::remove_all(options_.work_folder + "/data-" + control_name(control));
@@ -201,7 +235,7 @@
                                          std::string* answer)
 {
     http_call request;
-    request.endpoint = endpoint_text(address(control_ip(control), control_port));
+    request.endpoint = control_endpoint(control);
     request.request.method = method;
     request.request.target = target;
     request.request.body = body;
@@ -223,9 +257,15 @@
                "\",\"timeout_ms\":1000,\"target_latency_ms\":400,\"max_attempts\":2,"
                "\"priority\":0,\"session_affinity\":true,\"service\":\"roster\"}";
     };
+    std::string unused;
+    for (unsigned i = 0; i < options_.unused_routes; ++i)
+    {
+        std::string const name = "unused-" + std::to_string(i);
+        unused += ",\"" + name + "\":" + route(("/" + name + "/").c_str(), "safe");
+    }
     return "{\"version\":\"r" + std::to_string(version) + "\",\"base_version\":\"r" +
            std::to_string(accepted_) + "\",\"routes\":{\"check\":" + route("/check/", "safe") +
-           ",\"confirm\":" + route("/confirm/", "unsafe") +
+           ",\"confirm\":" + route("/confirm/", "unsafe") + unused +
            "},\"services\":{\"roster\":{\"health_path\":\"/health\",\"max_connections\":300,"
            "\"warmup_s\":2.0,\"warmup_per_s\":6}},\"limits\":{\"max_header_bytes\":16384,"
            "\"max_body_bytes\":1048576,\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000}}";
--- a/test/fleet/platform_fleet.hpp
+++ b/test/fleet/platform_fleet.hpp
@@ -34,6 +34,8 @@
     double shed_share = 0;
     /// Whether entry hosts reach the upstreams through relays.
     bool relays = false;
+    /// Routes without requests, which make each configuration longer.
+    unsigned unused_routes = 0;
     std::uint64_t seed = 1;
 };
 
@@ -64,6 +66,12 @@
     /// Configuration version that a control host returns; 0 when the request fails.
     std::uint64_t read_version(unsigned control);
     std::uint64_t accepted_version() const { return accepted_; }
+    guavashed::endpoint_text control_endpoint(unsigned i) const;
+    guavashed::endpoint_text entry_endpoint(unsigned i) const;
+    /// The control host that most of the others have reported as their leader last.
+    unsigned leader() const;
+    /// Bytes of the replicated log on a control host's disk.
+    std::uintmax_t log_bytes_on_disk(unsigned control) const;
     bool entry_ready(unsigned i);
     bool wait_ready(double limit_s);
 
