Never send a request twice on one connection to an upstream

Reported by other operators: a faulty upstream wrote an earlier refusal once more on a kept connection, and callers were told "not run, try again" for requests that ran.

Shown here: the client reused a kept connection for a second sending of the same id. The refusal of the first, written again, was taken as the answer to the second, which the upstream ran. The id can't tell the two apart. For other ids the answer was rejected already.

Evidence: the new section of "a second copy of an answer never answers the next request" failed before, with none, one and three other requests in between (one connection instead of two).

Why it works: a connection remembers hashes of the ids that it has carried and is passed over for these; it carries 256 requests at most, which bounds the memory. A success written again is covered by the same rule. In the platform's path a second try goes to another upstream, so the way in was a caller that sends its id again.

--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
+#include <functional>
 #include <unordered_map>
 
 namespace guavashed
@@ -27,6 +28,8 @@
 constexpr int max_interim_answers = 8;
 constexpr std::size_t max_idle_per_endpoint = 32;
 constexpr std::chrono::seconds default_idle_timeout{10};
+/// Requests that one connection carries. Bounds the memory of their ids.
+constexpr std::size_t max_requests_per_connection = 256;
 /// Tenths of an upstream's advertised idle timeout during which a connection is reused. The rest is
 /// a margin against the upstream closing it while a request is on its way.
 constexpr int idle_tenths = 7;
@@ -41,6 +44,8 @@
     instant idle_start;
     /// Idle timeout that the upstream advertised last.
     milliseconds idle_timeout = default_idle_timeout;
+    /// Hashes of the ids of the requests that it has carried.
+    std::vector<std::size_t> carried_ids;
 };
 
 using connection_ptr = std::unique_ptr<connection>;
@@ -94,14 +99,20 @@
 
     class exchange;
 
-    connection_ptr take_connection(endpoint_text const& endpoint, instant idle_since)
+    /// Takes an idle connection that has not carried a request with this id: a faulty upstream may
+    /// write an earlier answer again, and only the id tells whose it is.
+    connection_ptr take_connection(endpoint_text const& endpoint, instant idle_since,
+                                   std::size_t id_hash)
     {
         auto& idle = idle_[endpoint];
         instant const now = instant::clock::now();
-        while (!idle.empty())
+        for (std::size_t at = idle.size(); at-- > 0;)
         {
-            connection_ptr candidate = std::move(idle.back());
-            idle.pop_back();
+            auto const& ids = idle[at]->carried_ids;
+            if (std::find(ids.begin(), ids.end(), id_hash) != ids.end())
+                continue;
+            connection_ptr candidate = std::move(idle[at]);
+            idle.erase(idle.begin() + static_cast<std::ptrdiff_t>(at));
             if (candidate->reuse_until > now && candidate->idle_start >= idle_since &&
                 is_open_and_idle(candidate->stream.socket()))
                 return candidate;
@@ -112,7 +123,8 @@
     void keep(endpoint_text const& endpoint, connection_ptr item)
     {
         auto& idle = idle_[endpoint];
-        if (idle.size() >= max_idle_per_endpoint)
+        if (idle.size() >= max_idle_per_endpoint ||
+            item->carried_ids.size() >= max_requests_per_connection)
             return;
         item->idle_start = instant::clock::now();
         item->reuse_until = item->idle_start + item->idle_timeout * idle_tenths / 10;
@@ -147,7 +159,7 @@
     {
         build_message();
         if (!call_.fresh_connection)
-            connection_ = client_->take_connection(call_.endpoint, call_.idle_since);
+            connection_ = client_->take_connection(call_.endpoint, call_.idle_since, id_hash());
         if (connection_)
             return write();
         connect();
@@ -171,6 +183,8 @@
     }
 
 private:
+    std::size_t id_hash() const { return std::hash<std::string>()(call_.expected_id); }
+
     void build_message()
     {
         message_.method_string(call_.request.method);
@@ -224,6 +238,8 @@
                                  fail(error_code::expired, "send", call_.endpoint.value(),
                                       "send-by time has passed; nothing was sent"));
         connection_->stream.expires_at(timer_point(call_.deadline));
+        if (!call_.expected_id.empty())
+            connection_->carried_ids.push_back(id_hash());
         http::async_write(connection_->stream, message_,
                           [self = shared_from_this()](beast::error_code code, std::size_t)
                           {
--- a/src/transport/http_client.hpp
+++ b/src/transport/http_client.hpp
@@ -35,7 +35,8 @@
     /// once is sent on a new one.
     bool fresh_connection = false;
     /// When set, an answer is accepted only if its field `id_field` has this value; any other
-    /// answer belongs to another request, and its connection is closed.
+    /// answer belongs to another request, and its connection is closed. No connection carries the
+    /// same id twice.
     std::string expected_id;
     std::string id_field = "X-Request-Id";
     /// Deadline for establishing a connection; a call that misses it is unsent.
--- a/test/error/upstream_answer_test.cpp
+++ b/test/error/upstream_answer_test.cpp
@@ -229,6 +229,26 @@
             CHECK(upstream.connections() == 2);
         }
     }
+    GIVEN("a refusal that is written again where the answer to the same request is due")
+    {
+        // The request was sent once more under its id, and this time it runs.
+        std::string const refusal = "HTTP/1.1 503 Busy\r\nX-Request-Id: 1\r\n"
+                                    "X-Guavashed-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+        int const requests_between = GENERATE(0, 1, 3);
+        std::vector<std::string> answers{refusal};
+        for (int i = 0; i < requests_between; ++i)
+            answers.push_back(answer_of("other " + std::to_string(i), "other"));
+        answers.push_back(refusal + answer_of("1", "one"));
+        scripted_upstream upstream({answers});
+        REQUIRE(running.call(upstream.endpoint(), "1").response->status == 503);
+        for (int i = 0; i < requests_between; ++i)
+            REQUIRE(running.call(upstream.endpoint(), "other " + std::to_string(i)).response);
+        THEN("the second sending uses another connection")
+        {
+            CHECK(running.call(upstream.endpoint(), "1").response);
+            CHECK(upstream.connections() == 2);
+        }
+    }
     GIVEN("a copy that arrives where the next answer is due")
     {
         scripted_upstream upstream(
