--- a/test/error/raw_caller.hpp
+++ b/test/error/raw_caller.hpp
@@ -15,11 +15,17 @@
 {
 public:
     /// Connects and sends `bytes`.
-    explicit raw_caller(unsigned short port, std::string const& bytes = {}) : socket_(context_)
+    explicit raw_caller(boost::asio::ip::tcp::endpoint const& to, std::string const& bytes = {})
+        : socket_(context_)
     {
-        socket_.connect({boost::asio::ip::make_address("127.0.0.1"), port});
+        socket_.connect(to);
         send(bytes);
     }
+    /// The same, to a port of 127.0.0.1.
+    explicit raw_caller(unsigned short port, std::string const& bytes = {})
+        : raw_caller({boost::asio::ip::make_address("127.0.0.1"), port}, bytes)
+    {
+    }
 
     /// Ignores a failure: the peer may have closed the connection meanwhile.
     void send(std::string const& bytes)
