Give copies of an order that come late no effect

Cause: a control host that wakes from a freeze reads an order from a connection whose caller has left, and carries it out. Evacuations, restores and leaves carried nothing by which a copy could be told from a new order, and orders were proposed again to each new leader whoever still waited.

The fleet test "an order that a paused control host reads late has no effect" failed before for a following host, whether the caller left or stayed.

Ruled out: configurations (hash and base version), announcements (birth and sequence), confirmations of the product's own port (operation and base version).

Why it works: an order states up to which log index its host knew the register, and has no effect when its domain was evacuated or restored since, or its upstream has a later incarnation. The host proposes it again with its present knowledge while its caller waits.

Left: an order whose bytes and whose caller's close the network delivers far apart.

--- a/src/base/codec.hpp
+++ b/src/base/codec.hpp
@@ -15,6 +15,14 @@
 namespace guavashed
 {
 
+/// A message that is stored on disks declares `oldest_wire_version` and `read_version`, which reads
+/// the fields that an older version had.
+template <class Message>
+concept reads_older_versions = requires
+{
+    Message::oldest_wire_version;
+};
+
 /// Serializes `message`, prefixed with its `wire_version`. Thread safe.
 template <class Message>
 std::string encode(Message const& message)
@@ -25,8 +33,8 @@
     return std::move(out).str();
 }
 
-/// Deserializes a message. Truncated or malformed bytes, or another `wire_version`, give
-/// `invalid_frame`. Thread safe.
+/// Deserializes a message. Truncated or malformed bytes, or a version that the message doesn't
+/// read, give `invalid_frame`. Thread safe.
 /// Precondition: the length of the frame that carried `bytes` was limited.
 template <class Message>
 result<Message> decode(std::string_view bytes, std::string const& peer)
@@ -37,11 +45,17 @@
         cereal::PortableBinaryInputArchive archive(in);
         std::uint16_t version = 0;
         archive(version);
+        Message message;
+        if constexpr (reads_older_versions<Message>)
+            if (version >= Message::oldest_wire_version && version < Message::wire_version)
+            {
+                message.read_version(archive, version);
+                return message;
+            }
         if (version != Message::wire_version)
             return fail(error_code::invalid_frame, "decode", peer,
                         "unsupported message version " + std::to_string(version) + ", expected " +
                             std::to_string(Message::wire_version));
-        Message message;
         archive(message);
         return message;
     }
--- a/src/fleet/fleet_register.cpp
+++ b/src/fleet/fleet_register.cpp
@@ -34,18 +34,14 @@
         announce(index, command, now);
         break;
     case register_command_kind::leave:
-        depart(index, command.upstream.id, command.upstream.born_ms, false);
-        break;
+        return leave(index, command);
     case register_command_kind::forget:
         depart(index, command.upstream.id, command.upstream.born_ms, true);
         break;
     case register_command_kind::evacuate:
-        if (evacuated_.insert(command.domain).second)
-            changed_ = index;
-        break;
+        return evacuate(index, command);
     case register_command_kind::restore:
-        restore(index, command.domain, now);
-        break;
+        return restore(index, command, now);
     }
     return register_outcome::accepted;
 }
@@ -137,6 +133,17 @@
         cold_until_.erase(row.id);
 }
 
+register_outcome fleet_register::leave(log_index index, register_command const& command)
+{
+    auto const held = upstreams_.find(command.upstream.id);
+    bool const is_later_incarnation =
+        held != upstreams_.end() && held->second.row.born_ms > command.upstream.born_ms;
+    if (is_later_incarnation && command.known_index != register_command::any_index)
+        return register_outcome::outdated;
+    depart(index, command.upstream.id, command.upstream.born_ms, false);
+    return register_outcome::accepted;
+}
+
 void fleet_register::depart(log_index index, upstream_name const& id, std::int64_t born_ms,
                             bool may_return)
 {
@@ -162,10 +169,34 @@
     trim_departures();
 }
 
-void fleet_register::restore(log_index index, failure_domain_name const& domain, instant now)
+bool fleet_register::is_outdated(register_command const& evacuation) const
 {
-    if (evacuated_.erase(domain) == 0)
-        return;
+    auto const changed = evacuation_changed_.find(evacuation.domain);
+    return changed != evacuation_changed_.end() && changed->second > evacuation.known_index;
+}
+
+register_outcome fleet_register::evacuate(log_index index, register_command const& command)
+{
+    if (evacuated_.contains(command.domain))
+        return register_outcome::accepted;
+    if (is_outdated(command))
+        return register_outcome::outdated;
+    evacuated_.insert(command.domain);
+    evacuation_changed_[command.domain] = index;
+    changed_ = index;
+    return register_outcome::accepted;
+}
+
+register_outcome fleet_register::restore(log_index index, register_command const& command,
+                                         instant now)
+{
+    failure_domain_name const& domain = command.domain;
+    if (!evacuated_.contains(domain))
+        return register_outcome::accepted;
+    if (is_outdated(command))
+        return register_outcome::outdated;
+    evacuated_.erase(domain);
+    evacuation_changed_[domain] = index;
     changed_ = index;
     for (auto& [id, held] : upstreams_)
     {
@@ -177,6 +208,7 @@
             now + milliseconds(static_cast<std::int64_t>(warmup_s * 1000)) + restore_margin;
         held.changed = index;
     }
+    return register_outcome::accepted;
 }
 
 void fleet_register::trim_departures()
--- a/src/fleet/fleet_register.hpp
+++ b/src/fleet/fleet_register.hpp
@@ -79,9 +79,17 @@
     std::string save() const;
     result<void> load(std::string const& bytes);
 
-    static constexpr std::uint16_t wire_version = 1;
+    static constexpr std::uint16_t wire_version = 2;
+    static constexpr std::uint16_t oldest_wire_version = 1;
     template <class Archive>
     void serialize(Archive& archive)
+    {
+        read_version(archive, oldest_wire_version);
+        archive(evacuation_changed_);
+    }
+    /// Version 1 had no `evacuation_changed_`.
+    template <class Archive>
+    void read_version(Archive& archive, std::uint16_t)
     {
         archive(config_, document_, config_changed_, changed_, upstreams_, departures_, evacuated_,
                 accepted_hashes_, accepted_fifo_);
@@ -91,8 +99,11 @@
     register_outcome configure(log_index index, register_command const& command);
     void announce(log_index index, register_command const& command, instant now);
     void depart(log_index index, upstream_name const& id, std::int64_t born_ms, bool may_return);
+    register_outcome leave(log_index index, register_command const& command);
     bool claim_address(register_command const& command, log_index index);
-    void restore(log_index index, failure_domain_name const& domain, instant now);
+    register_outcome evacuate(log_index index, register_command const& command);
+    register_outcome restore(log_index index, register_command const& command, instant now);
+    bool is_outdated(register_command const& evacuation) const;
     void trim_departures();
 
     routing_config config_;
@@ -102,6 +113,8 @@
     std::map<upstream_name, registered_upstream> upstreams_;
     std::map<upstream_name, departure> departures_;
     std::set<failure_domain_name> evacuated_;
+    /// Log index of the last evacuation or restore of a failure domain.
+    std::map<failure_domain_name, log_index> evacuation_changed_;
     /// Hashes of accepted configuration requests, by which resends are recognised.
     std::set<std::uint64_t> accepted_hashes_;
     /// The same, oldest first.
--- a/src/fleet/register_command.hpp
+++ b/src/fleet/register_command.hpp
@@ -2,11 +2,13 @@
 /// Defines the commands of the fleet register and their outcomes.
 #pragma once
 
+#include "control/raft_messages.hpp"
 #include "routing/route_config.hpp"
 #include "routing/upstream_row.hpp"
 
 #include <cereal/types/string.hpp>
 #include <compare>
+#include <limits>
 #include <string>
 
 namespace guavashed
@@ -56,7 +58,11 @@
 
 struct register_command
 {
-    static constexpr std::uint16_t wire_version = 1;
+    static constexpr std::uint16_t wire_version = 2;
+    static constexpr std::uint16_t oldest_wire_version = 1;
+
+    /// `known_index` of commands that apply whatever changed before them.
+    static constexpr log_index any_index{std::numeric_limits<std::uint64_t>::max()};
 
     register_command_kind kind = register_command_kind::announce;
     command_ticket ticket;
@@ -75,9 +81,19 @@
     std::uint32_t cold_left_ms = 0;
     /// evacuate and restore.
     failure_domain_name domain;
+    /// evacuate, restore and leave: log index that the accepting host had applied. A copy of the
+    /// order that is committed after a later order on the same subject has no effect.
+    log_index known_index = any_index;
 
     template <class Archive>
     void serialize(Archive& archive)
+    {
+        read_version(archive, oldest_wire_version);
+        archive(known_index);
+    }
+    /// Version 1 had no `known_index`.
+    template <class Archive>
+    void read_version(Archive& archive, std::uint16_t)
     {
         archive(kind, ticket, request_hash, base, config, document, upstream, sequence,
                 cold_left_ms, domain);
@@ -90,7 +106,9 @@
     /// The version in force is not the one that the request is based on.
     conflict = 1,
     /// The version is not above the one in force.
-    stale_version = 2
+    stale_version = 2,
+    /// The host that accepted the order didn't know a later change of its subject.
+    outdated = 3
 };
 
 } // namespace guavashed
--- a/src/fleet/registry_node.cpp
+++ b/src/fleet/registry_node.cpp
@@ -154,6 +154,8 @@
     // missed announcements of all upstreams from now on.
     for (auto const& [id, held] : register_.upstreams())
         last_announced_[id] = now;
+    // A host that was paused may learn of a leader after its callers have given up.
+    expire_pending(now);
     for (auto const& [number, order] : pending_)
         send_proposal(order.command);
 }
--- a/src/fleet/registry_node.hpp
+++ b/src/fleet/registry_node.hpp
@@ -84,7 +84,6 @@
     {
         std::shared_ptr<http_exchange> exchange;
         std::string command;
-        register_command_kind kind = register_command_kind::announce;
         std::string subject;
         instant until;
     };
@@ -129,12 +128,19 @@
     void on_configure(configure_request&& order, std::shared_ptr<http_exchange> exchange);
     void on_read(std::shared_ptr<http_exchange> exchange);
     void on_resolve(resolve_request const& order, http_exchange& exchange);
+    /// Proposes the command; the exchange is answered once it is applied, or at `until`.
     void submit(register_command command, std::string subject,
-                std::shared_ptr<http_exchange> exchange);
+                std::shared_ptr<http_exchange> exchange, instant until);
+    void submit_order(register_command command, std::string subject,
+                      std::shared_ptr<http_exchange> exchange, instant arrived_at);
+    /// Notes in an order what this host knows of its subject.
+    void stamp(register_command& order) const;
     void propose(std::string const& command);
     void send_proposal(std::string const& command);
     bool has_leader_contact(instant now) const;
     void complete_request(register_command const& command, register_outcome outcome);
+    /// Proposes an order again that was outdated when it was applied; false if nobody waits for it.
+    bool propose_again(register_command command);
     void expire_pending(instant now);
     void on_config_read(frame_session_ptr const& session, config_read message);
     bool may_answer_reads(instant now) const;
--- a/src/fleet/registry_orders.cpp
+++ b/src/fleet/registry_orders.cpp
@@ -63,6 +63,8 @@
         return "conflict";
     case register_outcome::stale_version:
         return "stale_version";
+    case register_outcome::outdated:
+        return "outdated";
     }
     return "unknown";
 }
@@ -71,6 +73,7 @@
 
 void registry_node::on_http(http_request&& request, std::shared_ptr<http_exchange> exchange)
 {
+    instant const arrived_at = request.arrived_at;
     auto order = protocol_.read(request);
     if (!order)
     {
@@ -107,7 +110,38 @@
         subject = "domain=" + evacuate.domain.value();
     }
     ++counters_.orders;
-    submit(std::move(command), std::move(subject), std::move(exchange));
+    submit_order(std::move(command), std::move(subject), std::move(exchange), arrived_at);
+}
+
+void registry_node::submit_order(register_command command, std::string subject,
+                                 std::shared_ptr<http_exchange> exchange, instant arrived_at)
+{
+    instant const now = instant::clock::now();
+    instant const until = arrived_at + answer_limit;
+    if (now >= until)
+    {
+        // Its caller has turned to another host, and may have sent the opposite order since.
+        ++counters_.unavailable;
+        log_change(log_level::warning, "order_late",
+                   subject + " kind=" + text_of(command.kind) +
+                       " age_ms=" + std::to_string(remaining_ms(now, arrived_at)));
+        return exchange->respond(unavailable("the order waited too long to be read"));
+    }
+    stamp(command);
+    submit(std::move(command), std::move(subject), std::move(exchange), until);
+}
+
+void registry_node::stamp(register_command& order) const
+{
+    order.known_index = replica_->applied();
+    if (order.kind != register_command_kind::leave)
+        return;
+    auto const held = register_.upstreams().find(order.upstream.id);
+    auto const gone = register_.departures().find(order.upstream.id);
+    if (held != register_.upstreams().end())
+        order.upstream.born_ms = held->second.row.born_ms;
+    else if (gone != register_.departures().end())
+        order.upstream.born_ms = gone->second.born_ms;
 }
 
 void registry_node::on_announce(announce_request&& order, std::shared_ptr<http_exchange> exchange)
@@ -132,7 +166,7 @@
                           " address=" + command.upstream.address.value() +
                           " draining=" + (command.upstream.draining ? "1" : "0") +
                           " cold_left_ms=" + std::to_string(command.cold_left_ms);
-    submit(std::move(command), std::move(subject), std::move(exchange));
+    submit(std::move(command), std::move(subject), std::move(exchange), now + answer_limit);
 }
 
 void registry_node::on_configure(configure_request&& order, std::shared_ptr<http_exchange> exchange)
@@ -168,24 +202,34 @@
     command.base = order.base;
     command.config = std::move(decoded.value().config);
     command.document = std::move(decoded.value().document);
-    submit(std::move(command), subject, std::move(exchange));
+    submit(std::move(command), subject, std::move(exchange), instant::clock::now() + answer_limit);
 }
 
 void registry_node::submit(register_command command, std::string subject,
-                           std::shared_ptr<http_exchange> exchange)
+                           std::shared_ptr<http_exchange> exchange, instant until)
 {
     command.ticket = tickets_.next();
     pending_request order;
     order.exchange = std::move(exchange);
     order.command = encode(command);
-    order.kind = command.kind;
     order.subject = std::move(subject);
-    order.until = instant::clock::now() + answer_limit;
+    order.until = until;
     std::string const bytes = order.command;
     pending_.emplace(command.ticket.number, std::move(order));
     propose(bytes);
 }
 
+bool registry_node::propose_again(register_command command)
+{
+    auto const waiting = pending_.find(command.ticket.number);
+    if (waiting->second.exchange->abandoned() || instant::clock::now() >= waiting->second.until)
+        return false;
+    stamp(command);
+    waiting->second.command = encode(command);
+    send_proposal(waiting->second.command);
+    return true;
+}
+
 void registry_node::propose(std::string const& command)
 {
     send_proposal(command);
@@ -224,8 +268,12 @@
                    " version=" + std::to_string(register_.version().value()) + subject);
     if (waiting == pending_.end())
         return;
+    if (outcome == register_outcome::outdated && propose_again(command))
+        return;
     if (outcome == register_outcome::accepted)
         waiting->second.exchange->respond(acknowledged());
+    else if (outcome == register_outcome::outdated)
+        waiting->second.exchange->respond(unavailable("outdated by a later order"));
     else
         waiting->second.exchange->respond(error_response(
             412, fail(error_code::conflict, "configure", "",
@@ -239,6 +287,8 @@
     std::erase_if(pending_,
                   [&](auto& item)
                   {
+                      if (item.second.exchange->abandoned())
+                          return true;
                       if (now < item.second.until)
                           return false;
                       ++counters_.unavailable;
--- a/src/fleet/registry_port.hpp
+++ b/src/fleet/registry_port.hpp
@@ -39,6 +39,8 @@
         http_server_limits out;
         out.max_body_bytes = 16 * 1024 * 1024;
         out.max_connections = 2048;
+        // This host may have been paused since an order arrived.
+        out.stamps_arrivals = true;
         return out;
     }
 
--- a/src/transport/http_message.hpp
+++ b/src/transport/http_message.hpp
@@ -2,6 +2,8 @@
 /// Defines HTTP requests and responses as plain values, which confines Beast to two source files.
 #pragma once
 
+#include "base/instant.hpp"
+
 #include <string>
 #include <string_view>
 #include <vector>
@@ -21,6 +23,8 @@
     std::string target = "/";
     std::vector<http_field> fields;
     std::string body;
+    /// When its last bytes reached this host; set by servers whose limits have `stamps_arrivals`.
+    instant arrived_at = {};
 
     /// Value of the first field with that name, compared without case; empty when absent. Thread
     /// safe.
--- a/src/transport/http_server.hpp
+++ b/src/transport/http_server.hpp
@@ -55,6 +55,9 @@
     /// Bytes of bodies and of answers waiting for their turn that all connections may hold;
     /// requests beyond it are refused with 503.
     std::size_t max_buffered_bytes = 64 * 1024 * 1024;
+    /// Sets `http_request::arrived_at`, and drops requests whose callers have closed their
+    /// connections before they were read. Takes two system calls for each read.
+    bool stamps_arrivals = false;
 };
 
 struct http_server_counters
--- a/src/transport/http_session.hpp
+++ b/src/transport/http_session.hpp
@@ -90,6 +90,7 @@
     void read();
     void on_readable(boost::system::error_code code);
     void on_peer_closed();
+    bool has_peer_closed();
     /// Parses requests from the bytes that have arrived.
     void parse();
     bool can_take_request() const;
@@ -127,6 +128,8 @@
     std::optional<parser> parser_;
     /// When the current request's first byte arrived, or its head ended.
     instant stage_start_;
+    /// When the last bytes reached this host.
+    instant arrived_at_;
     std::size_t body_reserved_ = 0;
     bool continue_due_ = false;
     std::deque<std::shared_ptr<slot>> slots_;
--- a/src/transport/http_session_read.cpp
+++ b/src/transport/http_session_read.cpp
@@ -1,10 +1,14 @@
 // Implements the reading of one caller connection: requests, their limits and their deadlines.
+#include "base/log.hpp"
 #include "transport/http_session.hpp"
 #include "transport/request_head.hpp"
 
 #include <algorithm>
 #include <boost/beast/http/field.hpp>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <string_view>
+#include <sys/socket.h>
 #include <utility>
 
 namespace guavashed
@@ -35,6 +39,18 @@
     return out;
 }
 
+/// When the kernel received the last bytes that wait in the socket: earlier than now when this
+/// process was paused.
+instant arrival_of(asio::ip::tcp::socket& socket)
+{
+    instant const now = instant::clock::now();
+    tcp_info info = {};
+    socklen_t length = sizeof info;
+    if (::getsockopt(socket.native_handle(), IPPROTO_TCP, TCP_INFO, &info, &length) != 0)
+        return now;
+    return now - milliseconds(info.tcpi_last_data_recv);
+}
+
 } // namespace
 
 void http_session::read()
@@ -56,6 +72,9 @@
     reading_ = false;
     if (phase_ == phase::closed)
         return;
+    bool const stamps_arrivals = server_->limits.stamps_arrivals;
+    if (stamps_arrivals)
+        arrived_at_ = arrival_of(socket_);
     std::size_t const count = code ? 0 : socket_.read_some(buffer_.prepare(read_chunk_bytes), code);
     if (code == asio::error::would_block)
         return read();
@@ -69,10 +88,27 @@
         return read();
     }
     buffer_.commit(count);
+    if (stamps_arrivals && has_peer_closed())
+    {
+        log_request("request_dropped",
+                    "bytes=" + std::to_string(buffer_.size()) + " age_ms=" +
+                        std::to_string(remaining_ms(instant::clock::now(), arrived_at_)) +
+                        " reason=\"its caller has closed the connection\"");
+        return on_peer_closed();
+    }
     parse();
     read();
 }
 
+bool http_session::has_peer_closed()
+{
+    char byte = 0;
+    beast::error_code code;
+    std::size_t const count =
+        socket_.receive(asio::buffer(&byte, 1), asio::ip::tcp::socket::message_peek, code);
+    return code != asio::error::would_block && (code || count == 0);
+}
+
 void http_session::on_peer_closed()
 {
     abandon_all();
@@ -191,6 +227,7 @@
     item->is_head = head.method() == http::verb::head;
     item->buffered = std::exchange(body_reserved_, 0);
     item->waiting = to_http_request(parser_->release());
+    item->waiting->arrived_at = arrived_at_;
     parser_.reset();
     continue_due_ = false;
     bool const has_memory = server_->buffered_bytes < server_->limits.max_buffered_bytes / 2;
--- a/test/correctness/fleet/control_test.cpp
+++ b/test/correctness/fleet/control_test.cpp
@@ -128,3 +128,36 @@
         }
     }
 }
+
+// Guards against a control host that wakes from a pause and carries out an order whose caller gave
+// up on it, had it acknowledged elsewhere, and has sent the opposite order since.
+SCENARIO("an order that a paused control host reads late has no effect")
+{
+    platform_fleet fleet(options_of("late", 24100));
+    REQUIRE(fleet.start());
+    auto const controls = fleet.options().controls;
+    bool const leads = GENERATE(false, true);
+    bool const caller_leaves = GENERATE(true, false);
+    unsigned const paused = (fleet.leader() + (leads ? 0 : 1)) % controls;
+    unsigned const other = (paused + 1) % controls;
+    INFO("the paused host " << (leads ? "leads" : "follows") << ", the caller "
+                            << (caller_leaves ? "leaves" : "stays"));
+    std::string const target = "/v1/evacuation/north-a";
+    REQUIRE(order(fleet, other, "POST", target));
+    fleet.processes().signal(fleet.control_name(paused), SIGSTOP);
+    guavashed::raw_caller late(guavashed::parse_endpoint(fleet.control_endpoint(paused)).value(),
+                               "DELETE " + target + " HTTP/1.1\r\nHost: a\r\n\r\n");
+    std::this_thread::sleep_for(milliseconds(1100));
+    if (caller_leaves)
+        late.close();
+    REQUIRE(order(fleet, other, "DELETE", target));
+    REQUIRE(order(fleet, other, "POST", target));
+    fleet.processes().signal(fleet.control_name(paused), SIGCONT);
+    std::this_thread::sleep_for(milliseconds(2000));
+    std::string const log = fleet.log_of(fleet.control_name(other));
+    auto const last_evacuation = log.rfind("kind=evacuate");
+    REQUIRE(last_evacuation != std::string::npos);
+    CHECK(count_of(log.substr(last_evacuation), "kind=restore") == 0);
+    if (!caller_leaves)
+        CHECK(late.receive_until("}").starts_with("HTTP/1.1 503"));
+}
--- a/test/correctness/registry/fleet_register_test.cpp
+++ b/test/correctness/registry/fleet_register_test.cpp
@@ -186,6 +186,71 @@
     }
 }
 
+// A control host that was paused, or one that proposes an order again to a new leader, may have a
+// copy of an order committed after a later order on the same subject was acknowledged.
+SCENARIO("a copy of an order has no effect after a later order on the same subject")
+{
+    driven_register held;
+    auto const order = [](register_command_kind kind, std::uint64_t known_index)
+    {
+        register_command command;
+        command.kind = kind;
+        command.domain = failure_domain_name("north-a");
+        command.known_index = log_index(known_index);
+        return command;
+    };
+    GIVEN("a failure domain that was evacuated, restored and evacuated again")
+    {
+        auto const evacuate = order(register_command_kind::evacuate, 0);
+        auto const restore = order(register_command_kind::restore, 1);
+        REQUIRE(held.apply(evacuate) == register_outcome::accepted);
+        REQUIRE(held.apply(restore) == register_outcome::accepted);
+        REQUIRE(held.apply(order(register_command_kind::evacuate, 2)) ==
+                register_outcome::accepted);
+        THEN("a copy of the restore doesn't end the second evacuation")
+        {
+            CHECK(held.apply(restore) == register_outcome::outdated);
+            CHECK(held.state.evacuated().size() == 1);
+        }
+        THEN("a restore by a host that knows the second evacuation ends it")
+        {
+            CHECK(held.apply(order(register_command_kind::restore, 3)) ==
+                  register_outcome::accepted);
+            CHECK(held.state.evacuated().empty());
+            AND_THEN("a copy of the first evacuation doesn't come into force again")
+            {
+                CHECK(held.apply(evacuate) == register_outcome::outdated);
+                CHECK(held.state.evacuated().empty());
+            }
+        }
+        THEN("a replica that starts from a snapshot decides alike")
+        {
+            fleet_register loaded;
+            REQUIRE(loaded.load(held.state.save()));
+            held.state = loaded;
+            CHECK(held.apply(restore) == register_outcome::outdated);
+        }
+        THEN("an evacuation that is sent again is acknowledged again")
+        {
+            CHECK(held.apply(evacuate) == register_outcome::accepted);
+        }
+    }
+    GIVEN("an upstream that left and started again under its id")
+    {
+        register_command first_leave = leave("u1");
+        first_leave.known_index = log_index(1);
+        first_leave.upstream.born_ms = 1000;
+        held.apply(announce(roster_upstream("u1")));
+        REQUIRE(held.apply(first_leave) == register_outcome::accepted);
+        held.apply(announce(with_start(roster_upstream("u1"), 5000)));
+        THEN("a copy of the first leave doesn't remove the later incarnation")
+        {
+            CHECK(held.apply(first_leave) == register_outcome::outdated);
+            CHECK(held.state.upstreams().size() == 1);
+        }
+    }
+}
+
 // State that a snapshot omits, or that depends on more than the commands, would let replicas
 // diverge after a restart.
 TEST_CASE("replicas that apply the same commands hold the same state")
