--- a/src/fleet/registry_orders.cpp
+++ b/src/fleet/registry_orders.cpp
@@ -20,6 +20,9 @@
 /// Missed announcements after which an upstream is removed, and the tolerance for late ones.
 constexpr int missed_announcements = 4;
 constexpr milliseconds announcement_slack{2000};
+/// Longest encoded command. A command fits into one frame, and so does a snapshot with the
+/// configuration that it brings.
+constexpr std::size_t max_command_bytes = 4 * 1024 * 1024;
 /// Most entry hosts that callers read from one answer.
 constexpr std::size_t max_entries = 64;
 
@@ -212,6 +215,17 @@
     pending_request order;
     order.exchange = std::move(exchange);
     order.command = encode(command);
+    if (order.command.size() > max_command_bytes)
+    {
+        ++counters_.refused;
+        error const reason =
+            fail(error_code::invalid_document, "submit", "",
+                 std::to_string(order.command.size()) + " bytes encoded, and at most " +
+                     std::to_string(max_command_bytes) + " are allowed");
+        log_change(log_level::warning, "order_refused",
+                   subject + " reason=\"" + to_string(reason) + "\"");
+        return order.exchange->respond(error_response(413, reason));
+    }
     order.subject = std::move(subject);
     order.until = until;
     std::string const bytes = order.command;
--- a/test/correctness/fleet/control_test.cpp
+++ b/test/correctness/fleet/control_test.cpp
@@ -161,3 +161,59 @@
     if (!caller_leaves)
         CHECK(late.receive_until("}").starts_with("HTTP/1.1 503"));
 }
+
+// Guards against one odd order or announcement that ends the processes which read it, or all
+// processes that receive it from the log.
+SCENARIO("odd orders and announcements don't disturb the control hosts")
+{
+    platform_fleet fleet(options_of("odd", 24200));
+    REQUIRE(fleet.start());
+    auto const controls = fleet.options().controls;
+    std::string const deep(200'000, '[');
+    std::string const row = "{\"address\":\"127.0.3.9:24220\",\"born\":1,\"info\":{\"service\":"
+                            "\"roster\",\"zone\":\"north-a\",\"concurrency_limit\":4},"
+                            "\"status\":{\"state\":\"ready\",\"sequence\":1}}";
+    auto const with = [&row](std::string const& what, std::string const& value)
+    {
+        std::string out = row;
+        return out.replace(out.find(what), what.size(), value);
+    };
+    unsigned status = 0;
+    std::string const name = GENERATE("nesting", "a number", "a birth", "a sequence", "a port",
+                                      "a long name", "a long id", "a long configuration");
+    INFO(name);
+    if (name == "nesting")
+        status = fleet.request_control(1, "PUT", "/v1/instances/odd", deep);
+    else if (name == "a number")
+        status =
+            fleet.request_control(1, "PUT", "/v1/instances/odd",
+                                  with("\"concurrency_limit\":4", "\"concurrency_limit\":1e999"));
+    else if (name == "a birth")
+        status = fleet.request_control(1, "PUT", "/v1/instances/odd",
+                                       with("\"born\":1", "\"born\":18446744073709551615"));
+    else if (name == "a sequence")
+        status = fleet.request_control(1, "PUT", "/v1/instances/odd",
+                                       with("\"sequence\":1", "\"sequence\":18446744073709551615"));
+    else if (name == "a port")
+        status = fleet.request_control(1, "PUT", "/v1/instances/odd", with(":24220", ":99999"));
+    else if (name == "a long name")
+        status = fleet.request_control(1, "PUT", "/v1/instances/odd",
+                                       with("roster", std::string(9'000'000, 'r')));
+    else if (name == "a long id")
+        status = fleet.request_control(1, "PUT", "/v1/instances/" + std::string(10'000, 'i'), row);
+    else
+        status = fleet.request_control(
+            1, "PUT", "/v1/config",
+            "{\"version\":\"r50\",\"base_version\":\"r1\",\"routes\":{},\"services\":{\"" +
+                std::string(9'000'000, 's') + "\":{}}}");
+    THEN("they are refused, all processes run on, and the next change comes into force")
+    {
+        CHECK((status == 400 || status == 413));
+        CHECK(fleet.configure(60));
+        std::this_thread::sleep_for(milliseconds(300));
+        for (unsigned i = 0; i < controls; ++i)
+            CHECK(fleet.processes().running(fleet.control_name(i)));
+        CHECK(fleet.processes().running(fleet.entry_name(0)));
+        CHECK(fleet.entry_ready(0));
+    }
+}
--- a/test/correctness/platform/wire_registry_test.cpp
+++ b/test/correctness/platform/wire_registry_test.cpp
@@ -62,16 +62,26 @@
 TEST_CASE("an invalid announcement is refused")
 {
     wire_registry const wire;
-    std::string const body =
-        GENERATE(std::string("not json"), std::string("[]"), std::string("{}"),
-                 replaced(announcement, "\"ready\"", "\"sleeping\""),
-                 replaced(announcement, "\"ready\"", "7"),
-                 replaced(announcement, "\"concurrency_limit\":4", "\"concurrency_limit\":0"),
-                 replaced(announcement, "\"concurrency_limit\":4", "\"concurrency_limit\":\"4\""),
-                 replaced(announcement, "10.128.0.9:8080", "elsewhere"),
-                 replaced(announcement, "\"sequence\":4,", ""),
-                 replaced(announcement, "\"service\":\"huvo11a\",", ""),
-                 replaced(announcement, "1234", "\"today\""), announcement.substr(0, 80));
+    std::string const body = GENERATE(
+        std::string("not json"), std::string("[]"), std::string("{}"),
+        replaced(announcement, "\"ready\"", "\"sleeping\""),
+        replaced(announcement, "\"ready\"", "7"), replaced(announcement, "\"ready\"", "\"\""),
+        replaced(announcement, "10.128.0.9:8080", "10.128.0.9:80800"),
+        replaced(announcement, "1234", "18446744073709551615"),
+        replaced(announcement, "1234", "1e300"),
+        replaced(announcement, "1234", "1" + std::string(400, '0')),
+        replaced(announcement, "\"sequence\":4", "\"sequence\":18446744073709551615"),
+        replaced(announcement, "\"concurrency_limit\":4", "\"concurrency_limit\":1e999"),
+        replaced(announcement, "huvo11a", std::string(1000, 'h')),
+        replaced(announcement, "north-a", std::string(1000, 'n')),
+        replaced(announcement, "\"info\":",
+                 "\"deep\":" + std::string(5000, '[') + std::string(5000, ']') + ",\"info\":"),
+        replaced(announcement, "\"concurrency_limit\":4", "\"concurrency_limit\":0"),
+        replaced(announcement, "\"concurrency_limit\":4", "\"concurrency_limit\":\"4\""),
+        replaced(announcement, "10.128.0.9:8080", "elsewhere"),
+        replaced(announcement, "\"sequence\":4,", ""),
+        replaced(announcement, "\"service\":\"huvo11a\",", ""),
+        replaced(announcement, "1234", "\"today\""), announcement.substr(0, 80));
     auto const order = wire.read(call("PUT", "/v1/instances/i-7f", body));
     REQUIRE_FALSE(order);
     CHECK(order.error().code == error_code::invalid_document);
@@ -90,6 +100,8 @@
     CHECK(std::get<resolve_request>(lookup.value()).domain == failure_domain_name("north-a"));
     CHECK(
         std::holds_alternative<read_config_request>(wire.read(call("GET", "/v1/config")).value()));
+    CHECK_FALSE(wire.read(call("DELETE", "/v1/instances/" + std::string(1000, 'i'))));
+    CHECK_FALSE(wire.read(call("POST", "/v1/evacuation/" + std::string(1000, 'z'))));
     CHECK(wire.read(call("GET", "/v1/nothing")).error().code == error_code::unknown_place);
     CHECK(wire.read(call("POST", "/v1/config")).error().code == error_code::unknown_place);
 }
