Send no body with an answer to HEAD, 204 or 304

Cause: the session wrote the body of an answer of its own whatever the method was.

Ruled out: relayed answers, which are read without a body for HEAD.

--- a/src/transport/http_session.cpp
+++ b/src/transport/http_session.cpp
@@ -26,6 +26,23 @@
 /// Retry-After of requests that don't fit into memory, in seconds.
 constexpr char const* full_retry_after = "1";
 
+/// Sets body and length. An answer to HEAD has no body but may state the length of the one that it
+/// omits; an answer of status 204 or 304 has none, and callers would read it as the next answer.
+void set_body(http::response<http::string_body>& answer, std::string body, bool is_head)
+{
+    bool const never_has_body = answer.result() == http::status::no_content ||
+                                answer.result() == http::status::not_modified;
+    if (never_has_body)
+        return answer.erase(http::field::content_length), void();
+    if (!is_head)
+    {
+        answer.body() = std::move(body);
+        return answer.prepare_payload();
+    }
+    if (!body.empty())
+        answer.content_length(body.size());
+}
+
 } // namespace
 
 class http_session::exchange : public http_exchange, public std::enable_shared_from_this<exchange>
@@ -179,10 +196,7 @@
     for (auto const& field : item.response->fields)
         outgoing_->insert(field.name, field.value);
     outgoing_->keep_alive(keep);
-    outgoing_->body() = std::move(item.response->body);
-    // The answer to HEAD carries the Content-Length of the body that it omits.
-    if (!item.is_head || outgoing_->find(http::field::content_length) == outgoing_->end())
-        outgoing_->prepare_payload();
+    set_body(*outgoing_, std::move(item.response->body), item.is_head);
     writing_ = true;
     write_timer_.expires_at(timer_point(instant::clock::now() + server_->limits.idle_timeout));
     write_timer_.async_wait(
--- a/test/correctness/platform/wire_calls_test.cpp
+++ b/test/correctness/platform/wire_calls_test.cpp
@@ -102,6 +102,12 @@
     CHECK(relayed.field("Keep-Alive").empty());
     CHECK(relayed.field("X-Guavashed-Server-Load").empty());
 
+    SECTION("the answer to HEAD keeps the length of the body that it omits")
+    {
+        answer.body.clear();
+        answer.fields.push_back({"Content-Length", "517"});
+        CHECK(wire.relay(answer).field("Content-Length") == "517");
+    }
     SECTION("a load of three figures states no pace")
     {
         CHECK(facts.load->pace == 1);
--- a/test/error/http_session_test.cpp
+++ b/test/error/http_session_test.cpp
@@ -37,6 +37,8 @@
             held_[request.target] = std::move(exchange);
             return;
         }
+        if (request.target.starts_with("/status/"))
+            return exchange->respond({unsigned(std::stoul(request.target.substr(8))), {}, "body"});
         exchange->respond({200, {}, request.target + std::string(answer_padding, '.')});
     }
     bool may_overlap(http_request const& request) const override { return request.method == "GET"; }
@@ -212,6 +214,35 @@
     CHECK(running.handler.started() == targets{"/1"});
 }
 
+// Guards against a body where HTTP allows none: callers read it as the beginning of the next
+// answer.
+SCENARIO("an answer that has no body is followed by the next answer")
+{
+    running_server running;
+    raw_caller caller(port);
+    GIVEN("a HEAD request and a GET on one connection")
+    {
+        caller.send("HEAD /1 HTTP/1.1\r\nHost: a\r\n\r\n" + get("/2"));
+        std::string const answers = caller.receive_until("/2");
+        THEN("the answer to HEAD ends with its head, and states the length of the body that it "
+             "omits")
+        {
+            CHECK(answers.starts_with("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nHTTP/1.1 200"));
+        }
+    }
+    GIVEN("an answer whose status has no body")
+    {
+        std::string const status = GENERATE("204", "304");
+        caller.send(get("/status/" + status) + get("/2"));
+        std::string const answers = caller.receive_until("/2");
+        auto const next = answers.find("HTTP/1.1 200");
+        REQUIRE(next != std::string::npos);
+        CHECK(answers.starts_with("HTTP/1.1 " + status));
+        CHECK(answers.find("\r\n\r\n") + 4 == next);
+        CHECK(answers.substr(0, next).find("Content-Length") == std::string::npos);
+    }
+}
+
 SCENARIO("a request whose framing is ambiguous is refused, and nothing of it runs")
 {
     running_server running;
