Refuse TRACE requests that have a body

Seen in the review: such a request got 500 and stayed counted as in flight for good, so that a planned stop waited for it until its time was up.

Cause: HTTP allows TRACE no body, and the client library throws when it is to send one. The exception left the handler after the request had been counted.

Evidence: the new section of "requests that need more than their head" failed before (no 400).

Why it works: the request is refused with 400 where its head is read, before a handler sees it.

--- a/src/transport/http_session_read.cpp
+++ b/src/transport/http_session_read.cpp
@@ -173,6 +173,9 @@
         return reject(400, code.message()), false;
     if (parser_->get().method() == http::verb::connect)
         return reject(501, "CONNECT is not supported"), false;
+    bool const has_body = parser_->chunked() || parser_->content_length().value_or(0) > 0;
+    if (parser_->get().method() == http::verb::trace && has_body)
+        return reject(400, "TRACE has no body"), false;
     parser_->eager(true);
     stage_start_ = instant::clock::now();
     continue_due_ = beast::iequals(parser_->get()[http::field::expect], "100-continue");
--- a/test/error/http_session_test.cpp
+++ b/test/error/http_session_test.cpp
@@ -306,6 +306,11 @@
                     "Content-Length: 999999999\r\n\r\n");
         CHECK(caller.receive_to_end().starts_with("HTTP/1.1 413"));
     }
+    GIVEN("a TRACE request with a body")
+    {
+        caller.send("TRACE /1 HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\n{}");
+        CHECK(caller.receive_to_end().starts_with("HTTP/1.1 400"));
+    }
     GIVEN("a CONNECT request")
     {
         caller.send("CONNECT b:1 HTTP/1.1\r\nHost: b:1\r\n\r\n");
