Pass on a promise of "not run" only with the upstream's statement

Seen in the review: an upstream's 503, 429 or 408 without the statement that it did not run the request was passed on for a request that ran. Callers read these statuses as a promise and send the request again, though it may run once at most.

Cause: 429 and 408 counted as the upstream's answer to a bad request, and 503 as any other failure.

Evidence: the new section of attempt_policy_test can't compile against the code as found, which has no such decision; with the old rule 408 and 429 are judged "relay", and 503 was relayed by gateway_calls.

Why it works: without the statement the three count as possibly run: tried again where the request is idempotent, answered 502 otherwise.

--- a/src/fleet/gateway_calls.cpp
+++ b/src/fleet/gateway_calls.cpp
@@ -178,9 +178,7 @@
     if (may_retry(*item, verdict, end.unsent, now))
         return attempt(item);
     // An error status that the upstream itself returned is relayed.
-    bool const upstream_failure =
-        end.answered && verdict == attempt_verdict::may_have_run && end.status >= 500;
-    if (upstream_failure)
+    if (verdict == attempt_verdict::may_have_run && may_relay_failure(end))
         return answer(item, protocol_.relay(std::move(*outcome.response)), "upstream_failed", "");
     std::string const reason = outcome.response
                                    ? "upstream answered with status " + std::to_string(end.status)
--- a/src/routing/attempt_policy.hpp
+++ b/src/routing/attempt_policy.hpp
@@ -49,6 +49,19 @@
     abandoned
 };
 
+/// Whether callers read the status as a promise that the request has not run. Thread safe.
+constexpr bool promises_not_run(unsigned status)
+{
+    return status == 408 || status == 429 || status == 503;
+}
+
+/// Whether an answer that may have run the request may be relayed to the caller as it is. Thread
+/// safe; no preconditions.
+constexpr bool may_relay_failure(attempt_end const& end)
+{
+    return end.answered && end.status >= 500 && !promises_not_run(end.status);
+}
+
 /// Decides what happens to the request after an attempt. Thread safe; no preconditions.
 constexpr attempt_verdict judge(attempt_end const& end)
 {
@@ -66,7 +79,7 @@
     // A success without the signature did not come from the upstream itself.
     if (success && !end.is_signed)
         return attempt_verdict::may_have_run;
-    if (end.status >= 500)
+    if (end.status >= 500 || promises_not_run(end.status))
         return attempt_verdict::may_have_run;
     return attempt_verdict::relay;
 }
--- a/test/correctness/routing/attempt_policy_test.cpp
+++ b/test/correctness/routing/attempt_policy_test.cpp
@@ -44,6 +44,15 @@
         CHECK(judge(answered(500, true)) == attempt_verdict::may_have_run);
         CHECK(judge(answered(504, true)) == attempt_verdict::may_have_run);
     }
+    SECTION("a status that promises \"not run\" isn't relayed without the upstream's statement")
+    {
+        unsigned const status = GENERATE(408u, 429u, 503u);
+        CHECK(judge(answered(status, true)) == attempt_verdict::may_have_run);
+        CHECK_FALSE(may_relay_failure(answered(status, true)));
+        CHECK_FALSE(may_relay_failure(answered(status, false)));
+        CHECK(may_relay_failure(answered(500, true)));
+        CHECK(may_relay_failure(answered(504, true)));
+    }
     SECTION("a response that another upstream has the address counts as \"not run\"")
     {
         CHECK(judge(answered(421, false)) == attempt_verdict::not_run);
