Keep to what upstreams say of themselves in their answers

On the code as found the fleet scenarios of statement_test failed: requests reached an upstream up to 6 s after the host had passed on that it leaves, and three to seven in a pause where two are allowed.

Now: both are decoded once, in wire_calls, and kept by id and birth in upstream_statements, so that no view, removal or return to the registry undoes them; a later incarnation starts clean. An upstream that leaves is out as one that announces draining, one that pauses until the pause ends, also where it is the last of its service, with the end of the pause as the prediction for Retry-After. Hosts come back spread over a tenth of the pause, each with one request until it is answered. Feedback of an earlier incarnation no longer counts for a later one under the same id.

Weighed: passing one host's knowledge on to others. A faulty upstream could take itself out everywhere with one answer, and a leaving one announces draining as well; not built, and no run compared the two. Not passed on to callers: to them it would be the entry host's statement.

--- a/src/fleet/call_protocol.hpp
+++ b/src/fleet/call_protocol.hpp
@@ -33,6 +33,12 @@
     bool not_executed = false;
     std::optional<upstream_load> load;
     std::optional<std::uint32_t> cold_left_ms;
+    /// The upstream states that it leaves: it wants no further requests.
+    bool is_leaving = false;
+    /// With a refusal: how long the upstream wants no requests from this host.
+    std::optional<std::uint32_t> pause_ms;
+    /// The field that states a pause, where it could not be read.
+    std::string unreadable_pause;
 };
 
 /// Thread safety: all methods are thread safe.
--- a/src/fleet/gateway_calls.cpp
+++ b/src/fleet/gateway_calls.cpp
@@ -27,6 +27,9 @@
 /// Hosts that take over for a leaving one are ready already.
 constexpr double leaving_retry_after_ms = 100;
 
+/// Bytes of an unreadable field that a log line shows.
+constexpr std::size_t max_logged_value = 64;
+
 double ms_between(instant from, instant to)
 {
     return std::chrono::duration<double, std::milli>(to - from).count();
@@ -194,6 +197,12 @@
     report.took_ms = ms_between(item->sent_at, now);
     report.load = facts.load;
     report.cold_left_ms = facts.cold_left_ms;
+    report.is_leaving = facts.is_leaving;
+    report.pause_ms = facts.pause_ms;
+    if (!facts.unreadable_pause.empty())
+        log_change(log_level::warning, "pause_unreadable",
+                   "upstream=" + item->chosen.id.value() + " id=" + item->facts.id + " value=\"" +
+                       facts.unreadable_pause.substr(0, max_logged_value) + "\"");
     if (outcome.connected_in)
         report.connect_ms =
             std::chrono::duration<double, std::milli>(*outcome.connected_in).count();
--- a/src/fleet/gateway_node.cpp
+++ b/src/fleet/gateway_node.cpp
@@ -226,6 +226,8 @@
     line("attempts_total", counters_.attempts);
     line("second_attempts_total", counters_.second_attempts);
     line("connections_opened_total", client_.connections_opened());
+    line("upstreams_leaving_total", board_.leaving_stated());
+    line("upstream_pauses_total", board_.pauses_stated());
     line("bad_frames_total", counters_.bad_frames);
     auto const& http = caller_server_->counters();
     line("http_accepted_total", http.accepted);
--- a/src/routing/upstream_feedback.cpp
+++ b/src/routing/upstream_feedback.cpp
@@ -80,11 +80,43 @@
         expected += (std::min(work, expected * 3) - expected) * smoothing_factor / 2;
 }
 
+void upstream_selector::learn_statements(pick const& chosen, attempt_report const& outcome,
+                                         upstream_state* state, instant now)
+{
+    upstream_statement const before = statements_.find(chosen.id, chosen.born_ms);
+    if (outcome.is_leaving && !before.is_leaving)
+    {
+        ++leaving_stated_;
+        statements_.note_leaving(chosen.id, chosen.born_ms, now);
+        region_shares_.clear();
+        log_change(log_level::info, "upstream_leaving",
+                   "upstream=" + chosen.id.value() + " address=" + chosen.address.value() +
+                       " born_ms=" + std::to_string(chosen.born_ms) + " source=answer");
+    }
+    if (outcome.pause_ms && *outcome.pause_ms > 0)
+    {
+        ++pauses_stated_;
+        instant const until = pause_end(now, milliseconds(*outcome.pause_ms),
+                                        std::uniform_real_distribution<double>()(random_));
+        statements_.note_pause(chosen.id, chosen.born_ms, until, now);
+        log_change(log_level::info, "upstream_paused",
+                   "upstream=" + chosen.id.value() + " address=" + chosen.address.value() +
+                       " asked_ms=" + std::to_string(*outcome.pause_ms) +
+                       " for_ms=" + std::to_string(remaining_ms(until, now)));
+        if (state != nullptr)
+            state->resuming = true;
+    }
+    if (state != nullptr && (outcome.is_leaving || outcome.pause_ms))
+        state->stated = statements_.find(chosen.id, chosen.born_ms);
+}
+
 void upstream_selector::report(pick const& chosen, std::string const& route,
                                attempt_report const& outcome, instant now)
 {
     auto const at = upstreams_.find(chosen.id);
-    if (at == upstreams_.end())
+    bool const is_known = at != upstreams_.end() && at->second.row.born_ms == chosen.born_ms;
+    learn_statements(chosen, outcome, is_known ? &at->second : nullptr, now);
+    if (!is_known)
         return;
     upstream_state& state = at->second;
     if (state.in_flight > 0)
@@ -109,6 +141,7 @@
     {
     case attempt_result::answered:
         state.failures_in_row = 0;
+        state.resuming = false;
         return learn_time(state, chosen, route, outcome.took_ms, now);
     case attempt_result::shed:
         if (!outcome.load)
--- a/src/routing/upstream_selector.cpp
+++ b/src/routing/upstream_selector.cpp
@@ -57,7 +57,10 @@
         if (change.gone)
         {
             if (existing != upstreams_.end() && existing->second.row.born_ms <= change.row.born_ms)
+            {
+                statements_.note_removed(id, now);
                 upstreams_.erase(existing);
+            }
             continue;
         }
         bool const new_incarnation =
@@ -67,7 +70,9 @@
             upstream_state initial;
             initial.rates_at = now;
             initial.other_hosts_load_at = now;
+            initial.stated = statements_.find(id, change.row.born_ms);
             upstreams_[id] = initial;
+            statements_.note_registered(id, change.row.born_ms);
         }
         upstream_state& state = upstreams_[id];
         state.row = change.row;
@@ -77,7 +82,15 @@
         state.cold_until = std::max(state.cold_until, now + milliseconds(change.cold_left_ms));
     }
     if (changes.whole)
-        std::erase_if(upstreams_, [&](auto const& item) { return !listed.contains(item.first); });
+        std::erase_if(upstreams_,
+                      [&](auto const& item)
+                      {
+                          bool const is_removed = !listed.contains(item.first);
+                          if (is_removed)
+                              statements_.note_removed(item.first, now);
+                          return is_removed;
+                      });
+    statements_.trim(now);
     evacuated_ = {changes.evacuated.begin(), changes.evacuated.end()};
     if (!changes.entries.empty())
         entry_hashes_ = changes.entries;
@@ -114,7 +127,10 @@
 bool upstream_selector::usable(upstream_state const& state, pick_request const& request,
                                instant now, bool ejected_too) const
 {
-    if (state.row.draining || state.replaced)
+    // Ejection ends early where nothing else is left; a statement of the upstream does not.
+    if (state.is_leaving() || state.replaced || now < state.stated.paused_until)
+        return false;
+    if (state.resuming && state.in_flight > 0)
         return false;
     if (evacuated_.contains(state.row.domain) || request.tried.contains(state.row.id))
         return false;
@@ -163,7 +179,7 @@
     for (auto const& [domain, region] : settings_.regions)
         regions.insert(region);
     for (auto const& [id, state] : upstreams_)
-        if (state.row.service == service && !state.row.draining &&
+        if (state.row.service == service && !state.is_leaving() &&
             !evacuated_.contains(state.row.domain))
             slots[state.region] += state.row.slots;
     std::vector<region_capacity> capacities;
@@ -246,15 +262,24 @@
     return std::max(item.answer_ms - left, queued_too_long);
 }
 
-double upstream_selector::next_cold_send_ms(pick_request const& request, instant now) const
+double upstream_selector::next_usable_ms(pick_request const& request, instant now) const
 {
     auto const of_service = by_service_.find(request.service);
     if (of_service == by_service_.end())
         return 0;
     instant earliest = instant::max();
     for (auto const* state : of_service->second)
-        if (now < state->cold_until && may_send_while_cold(*state))
-            earliest = std::min(earliest, state->next_cold_send);
+    {
+        bool const is_cold = now < state->cold_until;
+        bool const is_pausing = now < state->stated.paused_until;
+        bool const is_out = state->is_leaving() || state->replaced ||
+                            evacuated_.contains(state->row.domain) ||
+                            (is_cold && !may_send_while_cold(*state));
+        if (is_out || (!is_cold && !is_pausing))
+            continue;
+        instant const next_cold_send = is_cold ? state->next_cold_send : instant();
+        earliest = std::min(earliest, std::max(state->stated.paused_until, next_cold_send));
+    }
     return earliest == instant::max() ? 0 : remaining_ms(earliest, now);
 }
 
@@ -264,7 +289,7 @@
     std::vector<candidate> found = candidates(request, now);
     if (found.empty())
     {
-        refusal = {pick_failure::none_usable, next_cold_send_ms(request, now)};
+        refusal = {pick_failure::none_usable, next_usable_ms(request, now)};
         return std::nullopt;
     }
     bool const keyed = request.route.affinity && !request.object.empty();
@@ -310,8 +335,13 @@
     if (now < state.cold_until)
         state.next_cold_send =
             now + microseconds(static_cast<std::int64_t>(warmup_spacing_ms(state) * 1000));
-    return pick{state.row.id,  state.row.address, best->cost_ms,
-                best->wait_ms, best->place,       state.region != settings_.region};
+    return pick{state.row.id,
+                state.row.born_ms,
+                state.row.address,
+                best->cost_ms,
+                best->wait_ms,
+                best->place,
+                state.region != settings_.region};
 }
 
 } // namespace guavashed
--- a/src/routing/upstream_selector.hpp
+++ b/src/routing/upstream_selector.hpp
@@ -8,6 +8,7 @@
 #include "routing/attempt_policy.hpp"
 #include "routing/placement.hpp"
 #include "routing/route_config.hpp"
+#include "routing/upstream_statements.hpp"
 
 #include <map>
 #include <optional>
@@ -59,6 +60,8 @@
 struct pick
 {
     upstream_name id;
+    /// Identifies the incarnation together with `id`.
+    std::int64_t born_ms = 0;
     endpoint_text address;
     /// Predicted latency, including the expected cost of a failure.
     double predicted_ms = 0;
@@ -96,6 +99,10 @@
     std::optional<double> connect_ms;
     /// Time until the upstream's warm-up ends, as it reported.
     std::optional<std::uint32_t> cold_left_ms;
+    /// The upstream said that it leaves.
+    bool is_leaving = false;
+    /// With a refusal: how long the upstream wants no requests from this host, in milliseconds.
+    std::optional<std::uint32_t> pause_ms;
 };
 
 /// Load balancer over the upstreams of all services. It combines affinity (weighted rendezvous
@@ -124,6 +131,9 @@
 
     std::size_t entry_hosts() const { return entry_hashes_.size(); }
     std::size_t upstreams() const { return upstreams_.size(); }
+    /// Statements that upstreams have made since the start.
+    std::uint64_t leaving_stated() const { return leaving_stated_; }
+    std::uint64_t pauses_stated() const { return pauses_stated_; }
 
 private:
     struct upstream_state
@@ -148,6 +158,13 @@
         instant next_cold_send;
         /// A different upstream answers at its address.
         bool replaced = false;
+        /// What it has said of itself in its answers.
+        upstream_statement stated;
+        /// It has not answered since its last pause: it gets one request of this host at a time.
+        bool resuming = false;
+
+        /// It gets no new requests for good.
+        bool is_leaving() const { return row.draining || stated.is_leaving; }
 
         /// Weight of `other_hosts_load` at `now`, decayed by its age.
         double load_weight(instant now) const;
@@ -191,8 +208,9 @@
     /// By how much the predicted answer is too late to send the request; not positive if it is
     /// early enough.
     double lateness_ms(candidate const& item, pick_request const& request, instant now) const;
-    /// Time until this host may send to one of the service's cold upstreams; 0 if there is none.
-    double next_cold_send_ms(pick_request const& request, instant now) const;
+    /// Time until one of the service's cold or pausing upstreams takes a request of this host; 0 if
+    /// there is none.
+    double next_usable_ms(pick_request const& request, instant now) const;
     /// Sets the predicted wait, latency and cost.
     void predict(candidate& item, pick_request const& request, instant now);
     /// Estimated number of requests at the upstream, of all entry hosts.
@@ -206,6 +224,10 @@
     void learn_time(upstream_state& state, pick const& chosen, std::string const& route,
                     double took_ms, instant now);
     void eject(upstream_state& state, instant now);
+    /// Keeps what the upstream said of itself; `state` is null if the view no longer holds the
+    /// incarnation.
+    void learn_statements(pick const& chosen, attempt_report const& outcome, upstream_state* state,
+                          instant now);
 
     selector_settings settings_;
     std::mt19937_64 random_;
@@ -223,6 +245,9 @@
     std::unordered_map<service_name, double> spill_tokens_;
     /// Moving average of the time to establish a connection, which takes one round trip.
     std::map<failure_domain_name, double> connect_ms_;
+    upstream_statements statements_;
+    std::uint64_t leaving_stated_ = 0;
+    std::uint64_t pauses_stated_ = 0;
 };
 
 } // namespace guavashed
--- a/standin/platform_upstream.cpp
+++ b/standin/platform_upstream.cpp
@@ -19,6 +19,7 @@
     : settings_(std::move(settings)), start_wall_ms_(wall_ms(std::chrono::system_clock::now())),
       started_(instant::clock::now()), random_(settings_.seed)
 {
+    record_.upstream = settings_.id;
 }
 
 platform_upstream::~platform_upstream()
@@ -47,6 +48,16 @@
                       });
 }
 
+void platform_upstream::state_leaving()
+{
+    boost::asio::post(event_loop_->context(), [this] { states_leaving_ = true; });
+}
+
+void platform_upstream::pause(instant until)
+{
+    boost::asio::post(event_loop_->context(), [this, until] { paused_until_ = until; });
+}
+
 void platform_upstream::crash()
 {
     if (!event_loop_)
@@ -129,6 +140,34 @@
     return std::uniform_real_distribution<double>(0, 1)(random_) < share;
 }
 
+http_response platform_upstream::with_statements(http_response answer) const
+{
+    if (states_leaving_)
+        answer.fields.push_back({"Server-Leaving", "1"});
+    return answer;
+}
+
+bool platform_upstream::reject_for_pause(std::string const& id, http_exchange& exchange)
+{
+    instant const now = instant::clock::now();
+    if (now >= paused_until_ && draw(settings_.pause_share))
+        paused_until_ = now + milliseconds(std::uniform_int_distribution<unsigned>(
+                                  settings_.least_pause_ms, settings_.most_pause_ms)(random_));
+    if (now >= paused_until_)
+        return false;
+    {
+        std::lock_guard const guard(mutex_);
+        record_.arrivals.push_back({id, now, false, states_leaving_, paused_until_});
+    }
+    double const seconds = std::chrono::duration<double>(paused_until_ - now).count();
+    exchange.respond(with_statements({503,
+                                      {{"X-Guavashed-Request-Id", id},
+                                       {"X-Guavashed-Not-Executed", "1"},
+                                       {"Retry-After", std::to_string(seconds)}},
+                                      ""}));
+    return true;
+}
+
 void platform_upstream::on_request(http_request request, std::shared_ptr<http_exchange> exchange)
 {
     std::string const id(request.field("X-Guavashed-Request-Id"));
@@ -139,6 +178,8 @@
         return exchange->respond(
             {421, {{"X-Guavashed-Request-Id", id}, {"X-Guavashed-Instance-Id", settings_.id}}, ""});
     }
+    if (reject_for_pause(id, *exchange))
+        return;
     auto item = std::make_shared<work>();
     item->id = id;
     item->exchange = std::move(exchange);
@@ -146,11 +187,11 @@
                       draw(settings_.shed_share);
     {
         std::lock_guard const guard(mutex_);
-        record_.arrivals.push_back({id, instant::clock::now(), !full});
+        record_.arrivals.push_back({id, instant::clock::now(), !full, states_leaving_, {}});
     }
     if (full)
-        return item->exchange->respond(
-            {503, {{"X-Guavashed-Request-Id", id}, {"X-Guavashed-Not-Executed", "1"}}, ""});
+        return item->exchange->respond(with_statements(
+            {503, {{"X-Guavashed-Request-Id", id}, {"X-Guavashed-Not-Executed", "1"}}, ""}));
     item->exchange->when_abandoned(
         [this, item]
         {
@@ -196,11 +237,11 @@
     if (item->abandoned || lost)
         return;
     pending_.erase(item);
-    item->exchange->respond({200,
-                             {{"X-Guavashed-Request-Id", item->id},
-                              {"X-Guavashed-Response-Signature", "s-" + item->id},
-                              {"X-Guavashed-Server-Load", load()}},
-                             "answer to " + item->id});
+    item->exchange->respond(with_statements({200,
+                                             {{"X-Guavashed-Request-Id", item->id},
+                                              {"X-Guavashed-Response-Signature", "s-" + item->id},
+                                              {"X-Guavashed-Server-Load", load()}},
+                                             "answer to " + item->id}));
 }
 
 } // namespace standin
--- a/standin/platform_upstream.hpp
+++ b/standin/platform_upstream.hpp
@@ -41,6 +41,11 @@
     double unanswered_share = 0;
     /// Fraction of requests that are rejected without being executed, regardless of load.
     double shed_share = 0;
+    /// Fraction of requests that are rejected with a pause, whose length is drawn between the
+    /// bounds; all requests are rejected until it ends.
+    double pause_share = 0;
+    unsigned least_pause_ms = 200;
+    unsigned most_pause_ms = 3000;
     std::uint64_t seed = 1;
 };
 
@@ -52,7 +57,12 @@
         std::string id;
         guavashed::instant at;
         bool ran = false;
+        /// The answer stated that the upstream leaves.
+        bool stated_leaving = false;
+        /// End of the pause that the rejection asked for.
+        std::optional<guavashed::instant> paused_until;
     };
+    std::string upstream;
     std::vector<arrival> arrivals;
     /// When a control host first acknowledged the announcement of the drain.
     std::optional<guavashed::instant> drain_acknowledged;
@@ -72,6 +82,10 @@
     guavashed::result<void> start();
     /// Announces the draining state from now on; requests are still served.
     void drain();
+    /// States in all answers from now on that it leaves; the announcements stay as they are.
+    void state_leaving();
+    /// Rejects all requests until `until`, and asks for a pause until then.
+    void pause(guavashed::instant until);
     /// Stops immediately without responding to requests in flight.
     void crash();
     platform_upstream_record record() const;
@@ -95,6 +109,9 @@
     void finish(std::shared_ptr<work> const& item);
     std::string load() const;
     bool draw(double share);
+    /// Rejects the request and asks for a pause, if one is due.
+    bool reject_for_pause(std::string const& id, guavashed::http_exchange& exchange);
+    guavashed::http_response with_statements(guavashed::http_response answer) const;
 
     platform_upstream_settings settings_;
     std::int64_t start_wall_ms_;
@@ -103,6 +120,8 @@
     std::uint64_t sequence_ = 0;
     std::size_t control_index_ = 0;
     bool draining_ = false;
+    bool states_leaving_ = false;
+    guavashed::instant paused_until_;
     unsigned running_ = 0;
     std::deque<std::shared_ptr<work>> waiting_;
     /// Requests that have been neither answered nor abandoned by the entry host.
--- a/test/correctness/routing/upstream_selector_test.cpp
+++ b/test/correctness/routing/upstream_selector_test.cpp
@@ -14,6 +14,7 @@
 {
     pick out;
     out.id = upstream_name(id);
+    out.born_ms = roster_upstream(id).born_ms;
     out.address = endpoint_text("127.0.0.1:9");
     out.place = 0;
     return out;
--- a/test/fleet/platform_fleet.cpp
+++ b/test/fleet/platform_fleet.cpp
@@ -156,6 +156,7 @@
     settings.warmup_ms = warmup_ms;
     settings.unanswered_share = options_.unanswered_share;
     settings.shed_share = options_.shed_share;
+    settings.pause_share = i < options_.pausing_upstreams ? options_.pause_share : 0;
     settings.seed = options_.seed + i;
     upstreams_[i] = std::make_unique<standin::platform_upstream>(settings);
     if (auto const started = upstreams_[i]->start(); !started)
--- a/test/fleet/platform_fleet.hpp
+++ b/test/fleet/platform_fleet.hpp
@@ -32,6 +32,10 @@
     double unanswered_share = 0;
     /// Fraction of requests that upstreams reject without executing them.
     double shed_share = 0;
+    /// Fraction of requests that upstreams reject with a pause.
+    double pause_share = 0;
+    /// Upstreams that do so; all others never ask for a pause.
+    unsigned pausing_upstreams = 0;
     /// Whether entry hosts reach the upstreams through relays.
     bool relays = false;
     /// Routes without requests, which make each configuration longer.
--- a/test/fleet/platform_soak.cpp
+++ b/test/fleet/platform_soak.cpp
@@ -8,6 +8,7 @@
 #include "platform_caller.hpp"
 #include "platform_fleet.hpp"
 #include "platform_invariants.hpp"
+#include "statement_checks.hpp"
 
 #include <algorithm>
 #include <csignal>
@@ -26,11 +27,18 @@
 /// lost for this time.
 constexpr std::chrono::seconds disk_recovery{5};
 constexpr unsigned max_disks_lost = 2;
+/// Mean of the steps from one upstream that states that it leaves to the next.
+constexpr unsigned steps_between_leaving = 8;
+/// What a link held up arrives within this time after it is whole again.
+constexpr guavashed::milliseconds link_settle{1000};
 
 class fault_source
 {
 public:
-    fault_source(platform_fleet& fleet, std::uint64_t seed) : fleet_(fleet), random_(seed) {}
+    fault_source(platform_fleet& fleet, std::uint64_t seed)
+        : fleet_(fleet), random_(seed), statement_random_(seed)
+    {
+    }
 
     /// Reverts the faults that are due, then injects one more.
     void step()
@@ -47,11 +55,15 @@
             &fault_source::configure,      &fault_source::evacuate,
             &fault_source::reload};
         (this->*faults[random_() % std::size(faults)])();
+        // Drawn apart, so that earlier seeds still draw the same faults.
+        if (statement_random_() % steps_between_leaving == 0)
+            state_leaving();
     }
 
     /// Reverts all faults in effect.
     void finish() { undo(true); }
     std::vector<std::string> const& violations() const { return violations_; }
+    disturbances const& disturbed() const { return disturbed_; }
 
     /// Checks that no control host returns a configuration older than the last acknowledged one.
     void check_version()
@@ -87,6 +99,23 @@
                 pending_undos_.push_back(std::move(item));
     }
     int random_delay_ms() { return 500 + static_cast<int>(random_() % 3500); }
+    /// Excuses an entry host, or the hosts that an upstream answered, until the returned action.
+    std::function<void()> disturb(std::string const& subject)
+    {
+        auto& list = disturbed_[subject];
+        list.push_back({guavashed::instant::clock::now()});
+        std::size_t const at = list.size() - 1;
+        return [this, subject, at]
+        { disturbed_[subject][at].until = guavashed::instant::clock::now() + link_settle; };
+    }
+    /// The caller endpoint of an entry host; empty for a control host.
+    std::string subject_of(std::string const& name) const
+    {
+        for (unsigned i = 0; i < fleet_.options().entries; ++i)
+            if (fleet_.entry_name(i) == name)
+                return fleet_.entry_endpoint(i).value();
+        return {};
+    }
     unsigned random_index(unsigned count) { return static_cast<unsigned>(random_() % count); }
 
     /// Signals a running process and schedules its restart.
@@ -96,10 +125,12 @@
             return;
         print_action((signal == SIGKILL ? "kill " : "stop ") + name);
         faulted_.insert(name);
+        auto const settle = disturb(subject_of(name));
         fleet_.processes().signal(name, signal);
         schedule_undo(random_delay_ms(),
-                      [this, name, restart]
+                      [this, name, restart, settle]
                       {
+                          settle();
                           if (fleet_.processes().await(name, 8) == -1000)
                               violations_.push_back(name + " did not exit within 8 s");
                           faulted_.erase(name);
@@ -112,10 +143,12 @@
             return;
         print_action("freeze " + name);
         faulted_.insert(name);
+        auto const settle = disturb(subject_of(name));
         fleet_.processes().signal(name, SIGSTOP);
         schedule_undo(random_delay_ms(),
-                      [this, name]
+                      [this, name, settle]
                       {
+                          settle();
                           fleet_.processes().signal(name, SIGCONT);
                           faulted_.erase(name);
                       });
@@ -172,6 +205,13 @@
         fleet_.upstream(i).drain();
         schedule_undo(4000, [this, i] { fleet_.start_upstream(i, 2000); });
     }
+    void state_leaving()
+    {
+        unsigned const i = static_cast<unsigned>(statement_random_() % fleet_.options().upstreams);
+        print_action("upstream " + std::to_string(i) + " states that it leaves");
+        fleet_.upstream(i).state_leaving();
+        schedule_undo(5000, [this, i] { fleet_.start_upstream(i, 2000); });
+    }
     void degrade_link()
     {
         static constexpr relay_mode modes[] = {relay_mode::delay, relay_mode::reset,
@@ -181,14 +221,24 @@
         print_action("degrade the link of upstream " + std::to_string(i) + ", mode " +
                      std::to_string(mode));
         fleet_.relay_of(i).set(modes[mode]);
-        schedule_undo(random_delay_ms(), [this, i] { fleet_.relay_of(i).set(relay_mode::pass); });
+        auto const settle = disturb(fleet_.upstream(i).id());
+        schedule_undo(random_delay_ms(),
+                      [this, i, settle]
+                      {
+                          settle();
+                          fleet_.relay_of(i).set(relay_mode::pass);
+                      });
     }
     void reset_links()
     {
         print_action("reset connections to upstreams");
         for (unsigned i = 0; i < fleet_.options().upstreams; ++i)
             if (random_() % 2 == 0)
+            {
+                // A statement on its way is lost with its connection.
+                disturb(fleet_.upstream(i).id())();
                 fleet_.relay_of(i).reset_open();
+            }
     }
     void configure()
     {
@@ -222,10 +272,12 @@
 
     platform_fleet& fleet_;
     std::mt19937_64 random_;
+    std::mt19937_64 statement_random_;
     std::vector<pending_undo> pending_undos_;
     std::set<std::string> faulted_;
     std::vector<steady::time_point> disks_lost_;
     std::vector<std::string> violations_;
+    disturbances disturbed_;
 };
 
 constexpr double calls_per_s = 120;
@@ -240,6 +292,8 @@
     options.upstreams = static_cast<unsigned>(given.number("upstreams", 8));
     options.seed = static_cast<std::uint64_t>(given.number("seed", 1));
     options.unanswered_share = 0.02;
+    options.pausing_upstreams = 2;
+    options.pause_share = 0.01;
     options.relays = true;
     double const duration_s = given.number("duration-s", 30);
     std::cout << "seed " << options.seed << ", " << duration_s << " s\n";
@@ -268,6 +322,8 @@
     faults.check_version();
     auto const report = check_invariants(caller.calls(), fleet.records());
     violations.insert(violations.end(), report.violations.begin(), report.violations.end());
+    auto const statements = check_statements(caller.calls(), fleet.records(), faults.disturbed());
+    violations.insert(violations.end(), statements.begin(), statements.end());
     std::cout << to_string(report.counts) << "\n";
     for (auto const& violation : violations)
         std::cout << "BROKEN: " << violation << "\n";
