Split what grew: pending orders, the connection pool, tests of HTTP limits

Proposing and answering orders is registry_pending now, the kept connections of the client are connection_pool, and the tests of limits have a file of their own. No behaviour changes.

--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -1,8 +1,8 @@
-// Implements http_client with Beast: a pool of kept-alive connections per endpoint, and one
-// exchange object per call.
+// Implements http_client with Beast: one exchange object per call.
 #include "transport/http_client.hpp"
 
 #include "base/endpoint.hpp"
+#include "transport/connection_pool.hpp"
 
 #include <algorithm>
 #include <boost/beast/core.hpp>
@@ -21,61 +21,8 @@
 {
 
 constexpr std::size_t max_response_bytes = 16 * 1024 * 1024;
-/// Bytes that are read ahead of the parser. It leaves a head, a chunk size line or a trailer in the
-/// buffer until it is complete, so this bounds their length as well.
-constexpr std::size_t max_unparsed_bytes = 64 * 1024;
 /// Interim answers (1xx) that may precede an answer.
 constexpr int max_interim_answers = 8;
-constexpr std::size_t max_idle_per_endpoint = 32;
-constexpr std::chrono::seconds default_idle_timeout{10};
-/// Requests that one connection carries. Bounds the memory of their ids.
-constexpr std::size_t max_requests_per_connection = 256;
-/// Tenths of an upstream's advertised idle timeout during which a connection is reused. The rest is
-/// a margin against the upstream closing it while a request is on its way.
-constexpr int idle_tenths = 7;
-
-struct connection
-{
-    explicit connection(asio::io_context& context) : stream(context) {}
-
-    beast::tcp_stream stream;
-    beast::flat_buffer buffer{max_unparsed_bytes};
-    instant reuse_until;
-    instant idle_start;
-    /// Idle timeout that the upstream advertised last.
-    milliseconds idle_timeout = default_idle_timeout;
-    /// Hashes of the ids of the requests that it has carried.
-    std::vector<std::size_t> carried_ids;
-};
-
-using connection_ptr = std::unique_ptr<connection>;
-
-/// N of "Keep-Alive: timeout=N", in seconds; 0 when there is none.
-int keep_alive_timeout_s(std::string_view value)
-{
-    constexpr std::string_view key = "timeout=";
-    auto const at = value.find(key);
-    if (at == std::string_view::npos)
-        return 0;
-    int seconds = 0;
-    for (char const digit : value.substr(at + key.size()))
-    {
-        if (digit < '0' || digit > '9' || seconds > 3600)
-            break;
-        seconds = seconds * 10 + (digit - '0');
-    }
-    return seconds;
-}
-
-/// False when the peer has closed the connection or sent bytes outside of any response.
-bool is_open_and_idle(tcp::socket& socket)
-{
-    beast::error_code code;
-    char byte = 0;
-    socket.non_blocking(true, code);
-    socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, code);
-    return code == asio::error::would_block;
-}
 
 http_response to_http_response(http::response<http::string_body>&& message)
 {
@@ -99,39 +46,6 @@
 
     class exchange;
 
-    /// Takes an idle connection that has not carried a request with this id: a faulty upstream may
-    /// write an earlier answer again, and only the id tells whose it is.
-    connection_ptr take_connection(endpoint_text const& endpoint, instant idle_since,
-                                   std::size_t id_hash)
-    {
-        auto& idle = idle_[endpoint];
-        instant const now = instant::clock::now();
-        for (std::size_t at = idle.size(); at-- > 0;)
-        {
-            auto const& ids = idle[at]->carried_ids;
-            if (std::find(ids.begin(), ids.end(), id_hash) != ids.end())
-                continue;
-            connection_ptr candidate = std::move(idle[at]);
-            idle.erase(idle.begin() + static_cast<std::ptrdiff_t>(at));
-            if (candidate->reuse_until > now && candidate->idle_start >= idle_since &&
-                is_open_and_idle(candidate->stream.socket()))
-                return candidate;
-        }
-        return nullptr;
-    }
-
-    void keep(endpoint_text const& endpoint, connection_ptr item)
-    {
-        auto& idle = idle_[endpoint];
-        if (idle.size() >= max_idle_per_endpoint ||
-            item->carried_ids.size() >= max_requests_per_connection)
-            return;
-        item->idle_start = instant::clock::now();
-        item->reuse_until = item->idle_start + item->idle_timeout * idle_tenths / 10;
-        item->stream.expires_never();
-        idle.push_back(std::move(item));
-    }
-
     /// Ends the call that holds most memory while all together hold too much, first among answers
     /// that state no length: bytes without end must not cost the answers of other calls.
     void bound_buffered();
@@ -140,7 +54,7 @@
     std::size_t const max_buffered_bytes_;
     /// Memory that unfinished answers take: their bodies, and bytes read ahead of the parser.
     std::size_t buffered_bytes_ = 0;
-    std::unordered_map<endpoint_text, std::vector<connection_ptr>> idle_;
+    connection_pool pool_;
     std::unordered_map<http_call_id, std::weak_ptr<exchange>> running_;
     http_call_id last_id_ = 0;
     std::uint64_t opened_ = 0;
@@ -159,7 +73,7 @@
     {
         build_message();
         if (!call_.fresh_connection)
-            connection_ = client_->take_connection(call_.endpoint, call_.idle_since, id_hash());
+            connection_ = client_->pool_.take(call_.endpoint, call_.idle_since, id_hash());
         if (connection_)
             return write();
         connect();
@@ -203,7 +117,7 @@
         auto const endpoint = parse_endpoint(call_.endpoint);
         if (!endpoint)
             return finish_failed(send_stage::unsent, endpoint.error());
-        connection_ = std::make_unique<connection>(client_->context_);
+        connection_ = std::make_unique<upstream_connection>(client_->context_);
         ++client_->opened_;
         instant const connect_start = instant::clock::now();
         connection_->stream.expires_at(timer_point(std::min(call_.connect_by, call_.deadline)));
@@ -311,8 +225,7 @@
                                       "its transfer coding is not chunked alone"));
         bool const reusable =
             parser_->get().keep_alive() && connection_->buffer.size() == 0 && !send_failed_;
-        if (int const seconds = keep_alive_timeout_s(parser_->get()["Keep-Alive"]); seconds > 0)
-            connection_->idle_timeout = std::chrono::seconds(seconds);
+        connection_->learn_idle_timeout(parser_->get()["Keep-Alive"]);
         http_outcome outcome;
         outcome.stage = send_stage::sent;
         outcome.response = to_http_response(parser_->release());
@@ -323,7 +236,7 @@
                                       call_.endpoint.value(),
                                       "the answer does not carry the id of the request"));
         if (reusable)
-            client_->keep(call_.endpoint, std::move(connection_));
+            client_->pool_.keep(call_.endpoint, std::move(connection_));
         finish(std::move(outcome));
     }
 
@@ -367,7 +280,7 @@
     http_call_id id_;
     http_call call_;
     done on_done_;
-    connection_ptr connection_;
+    upstream_connection_ptr connection_;
     beast::error_code send_failed_;
     std::optional<std::chrono::nanoseconds> connected_in_;
     http::request<http::string_body> message_;
--- a/test/error/http_session_test.cpp
+++ b/test/error/http_session_test.cpp
@@ -1,117 +1,17 @@
 // Guards against what callers, by fault or intent, do to a connection of the HTTP server: pipelined
-// requests, requests that two parsers frame differently, handlers that throw, bodies beyond the
-// memory of the process, callers that trickle, and connections accepted just before a stop.
-#include "raw_caller.hpp"
-#include "transport/http_server.hpp"
+// requests, requests that two parsers frame differently, handlers that throw, and connections
+// accepted just before a stop.
+#include "http_server_support.hpp"
 #include "transport/request_head.hpp"
 
 #include <boost/asio/post.hpp>
-#include <catch2/catch.hpp>
-#include <future>
-#include <map>
-#include <mutex>
-#include <stdexcept>
 
 using namespace guavashed;
 
 namespace
 {
 
-constexpr unsigned short port = 20921;
-
-/// Holds the exchanges of "/held/..." until the test answers them; answers all others at once.
-class scripted_handler : public http_handler
-{
-public:
-    void on_request(http_request request, std::shared_ptr<http_exchange> exchange) override
-    {
-        std::unique_lock const lock(mutex_);
-        started_.push_back(request.target);
-        if (request.target == "/throw")
-            throw std::runtime_error("as asked");
-        if (request.target == "/drop")
-            return;
-        if (request.target.starts_with("/held/"))
-        {
-            exchange->when_abandoned([this] { ++abandoned; });
-            held_[request.target] = std::move(exchange);
-            return;
-        }
-        if (request.target.starts_with("/status/"))
-            return exchange->respond({unsigned(std::stoul(request.target.substr(8))), {}, "body"});
-        exchange->respond({200, {}, request.target + std::string(answer_padding, '.')});
-    }
-    bool may_overlap(http_request const& request) const override { return request.method == "GET"; }
-
-    void answer(std::string const& target)
-    {
-        std::shared_ptr<http_exchange> exchange;
-        {
-            std::unique_lock const lock(mutex_);
-            exchange = held_.at(target);
-        }
-        exchange->respond({200, {}, target});
-    }
-    /// Drops the held exchanges; they must not outlive the server's event loop.
-    void release()
-    {
-        std::unique_lock const lock(mutex_);
-        held_.clear();
-    }
-    std::vector<std::string> started() const
-    {
-        std::unique_lock const lock(mutex_);
-        return started_;
-    }
-
-    std::atomic<int> abandoned{0};
-    std::size_t answer_padding = 0;
-
-private:
-    mutable std::mutex mutex_;
-    std::vector<std::string> started_;
-    std::map<std::string, std::shared_ptr<http_exchange>> held_;
-};
-
-/// A server on its own thread, stopped before its handler ends.
-struct running_server
-{
-    explicit running_server(http_server_limits limits = {})
-        : owner("http"), server(owner, handler, limits)
-    {
-        REQUIRE(server.listen(endpoint_text("127.0.0.1:" + std::to_string(port))));
-    }
-    ~running_server()
-    {
-        owner.stop();
-        handler.release();
-    }
-
-    scripted_handler handler;
-    event_loop owner;
-    http_server server;
-};
-
-std::string get(std::string const& target, std::string const& fields = "")
-{
-    return "GET " + target + " HTTP/1.1\r\nHost: a\r\n" + fields + "\r\n";
-}
-
-std::string post(std::string const& target, std::string const& body)
-{
-    return "POST " + target +
-           " HTTP/1.1\r\nHost: a\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
-           body;
-}
-
-using targets = std::vector<std::string>;
-
-bool becomes_true(std::function<bool()> const& condition)
-{
-    for (int i = 0; i < 200 && !condition(); ++i)
-        std::this_thread::sleep_for(milliseconds(10));
-    return condition();
-}
+constexpr unsigned short port = http_test_port;
 
 } // namespace
 
@@ -319,53 +219,6 @@
     CHECK(running.handler.started().size() <= 1);
 }
 
-SCENARIO("callers cannot hold memory or connections without bound")
-{
-    http_server_limits limits;
-    limits.max_body_bytes = 2'000'000;
-    limits.max_buffered_bytes = 3'000'000;
-    limits.header_timeout = milliseconds(200);
-    limits.idle_timeout = milliseconds(400);
-    running_server running(limits);
-    GIVEN("bodies that together exceed the memory limit")
-    {
-        raw_caller first(port, "POST /1 HTTP/1.1\r\nHost: a\r\nContent-Length: 1900000\r\n\r\n");
-        std::this_thread::sleep_for(milliseconds(50));
-        raw_caller second(port, "POST /2 HTTP/1.1\r\nHost: a\r\nContent-Length: 1900000\r\n\r\n");
-        std::string const answer = second.receive_to_end();
-        CHECK(answer.starts_with("HTTP/1.1 503"));
-        CHECK(answer.find("Retry-After: ") != std::string::npos);
-        first.send(std::string(1'900'000, 'x'));
-        CHECK(first.receive_until("/1").starts_with("HTTP/1.1 200"));
-        CHECK(running.server.counters().refused_for_memory == 1);
-    }
-    GIVEN("a chunk size line or a trailer without end")
-    {
-        std::string const part = GENERATE("5;", "0\r\nA: ");
-        raw_caller caller(port,
-                          "POST /1 HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n" +
-                              part + std::string(200'000, 'x'));
-        CHECK(caller.receive_to_end().starts_with("HTTP/1.1 431"));
-    }
-    GIVEN("a head that trickles")
-    {
-        raw_caller caller(port, "GET / HTTP/1.1\r\nHo");
-        CHECK(caller.receive_to_end().starts_with("HTTP/1.1 408"));
-    }
-    GIVEN("a body that trickles")
-    {
-        raw_caller caller(port, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n\r\nab");
-        CHECK(caller.receive_to_end().starts_with("HTTP/1.1 408"));
-    }
-    GIVEN("a connection without a request")
-    {
-        raw_caller caller(port, "");
-        CHECK(caller.receive_to_end().empty());
-        CHECK_FALSE(caller.was_reset());
-    }
-    CHECK(running.handler.started().size() <= 1);
-}
-
 SCENARIO("a stop of the server cuts no request that its kernel has accepted")
 {
     int served = 0;
