Keep statements of upstreams that left the view bounded in time as well

Found on reading the change: a statement of an incarnation that the view no longer held was kept until 4,096 others had come, the removal of an earlier incarnation could end a later one's statement, a return to the view within a pause lost the slow start after it, and making room for a new statement could drop the new one itself where all were noted in the same instant.

--- a/src/routing/upstream_feedback.cpp
+++ b/src/routing/upstream_feedback.cpp
@@ -83,8 +83,9 @@
 void upstream_selector::learn_statements(pick const& chosen, attempt_report const& outcome,
                                          upstream_state* state, instant now)
 {
-    upstream_statement const before = statements_.find(chosen.id, chosen.born_ms);
-    if (outcome.is_leaving && !before.is_leaving)
+    if (!outcome.is_leaving && !outcome.pause_ms)
+        return;
+    if (outcome.is_leaving && !statements_.find(chosen.id, chosen.born_ms).is_leaving)
     {
         ++leaving_stated_;
         statements_.note_leaving(chosen.id, chosen.born_ms, now);
@@ -106,8 +107,10 @@
         if (state != nullptr)
             state->resuming = true;
     }
-    if (state != nullptr && (outcome.is_leaving || outcome.pause_ms))
+    if (state != nullptr)
         state->stated = statements_.find(chosen.id, chosen.born_ms);
+    else
+        statements_.note_removed(chosen.id, chosen.born_ms, now);
 }
 
 void upstream_selector::report(pick const& chosen, std::string const& route,
--- a/src/routing/upstream_selector.cpp
+++ b/src/routing/upstream_selector.cpp
@@ -58,7 +58,7 @@
         {
             if (existing != upstreams_.end() && existing->second.row.born_ms <= change.row.born_ms)
             {
-                statements_.note_removed(id, now);
+                statements_.note_removed(id, change.row.born_ms, now);
                 upstreams_.erase(existing);
             }
             continue;
@@ -71,6 +71,7 @@
             initial.rates_at = now;
             initial.other_hosts_load_at = now;
             initial.stated = statements_.find(id, change.row.born_ms);
+            initial.resuming = now < initial.stated.paused_until;
             upstreams_[id] = initial;
             statements_.note_registered(id, change.row.born_ms);
         }
@@ -87,7 +88,7 @@
                       {
                           bool const is_removed = !listed.contains(item.first);
                           if (is_removed)
-                              statements_.note_removed(item.first, now);
+                              statements_.note_removed(item.first, item.second.row.born_ms, now);
                           return is_removed;
                       });
     statements_.trim(now);
--- a/src/routing/upstream_statements.cpp
+++ b/src/routing/upstream_statements.cpp
@@ -28,20 +28,17 @@
 upstream_statements::entry* upstream_statements::entry_of(upstream_name const& id,
                                                           std::int64_t born_ms, instant now)
 {
-    auto const [at, fresh] = entries_.try_emplace(id);
-    entry& out = at->second;
-    if (!fresh && out.born_ms > born_ms)
-        return nullptr;
-    if (fresh || out.born_ms < born_ms)
-    {
-        out = entry{};
-        out.born_ms = born_ms;
-    }
-    out.noted_at = now;
-    if (entries_.size() > max_statements)
+    auto const held = entries_.find(id);
+    if (held == entries_.end() && entries_.size() >= max_statements)
         entries_.erase(std::min_element(entries_.begin(), entries_.end(),
                                         [](auto const& left, auto const& right)
                                         { return left.second.noted_at < right.second.noted_at; }));
+    entry& out = held == entries_.end() ? entries_[id] : held->second;
+    if (out.born_ms > born_ms)
+        return nullptr;
+    if (out.born_ms < born_ms)
+        out = entry{born_ms};
+    out.noted_at = now;
     return &out;
 }
 
@@ -77,11 +74,11 @@
         at->second.drop_at = instant::max();
 }
 
-void upstream_statements::note_removed(upstream_name const& id, instant now)
+void upstream_statements::note_removed(upstream_name const& id, std::int64_t born_ms, instant now)
 {
     auto const at = entries_.find(id);
-    if (at != entries_.end() && at->second.drop_at == instant::max())
-        at->second.drop_at = now + kept_after_removal;
+    if (at != entries_.end() && at->second.born_ms <= born_ms)
+        at->second.drop_at = std::min(at->second.drop_at, now + kept_after_removal);
 }
 
 void upstream_statements::trim(instant now)
--- a/src/routing/upstream_statements.hpp
+++ b/src/routing/upstream_statements.hpp
@@ -40,8 +40,8 @@
 
     /// Reports that the view holds the incarnation; statements of earlier ones are dropped.
     void note_registered(upstream_name const& id, std::int64_t born_ms);
-    /// Reports that the view no longer holds the upstream.
-    void note_removed(upstream_name const& id, instant now);
+    /// Reports that the view doesn't hold the incarnation, or no longer.
+    void note_removed(upstream_name const& id, std::int64_t born_ms, instant now);
     /// Drops statements of upstreams that were removed long ago.
     void trim(instant now);
 
@@ -51,8 +51,8 @@
     struct entry
     {
         std::int64_t born_ms = 0;
-        upstream_statement statement;
-        instant noted_at;
+        upstream_statement statement = {};
+        instant noted_at = {};
         instant drop_at = instant::max();
     };
     entry* entry_of(upstream_name const& id, std::int64_t born_ms, instant now);
--- a/test/correctness/routing/upstream_statements_test.cpp
+++ b/test/correctness/routing/upstream_statements_test.cpp
@@ -90,6 +90,7 @@
         {
             board.report(home, "checks", leaving(result), at_ms(40));
             CHECK(pick_for(board, "block 7", 50) == home.id.value());
+            CHECK(pick_for(board, "block 7", 120000) == home.id.value());
         }
     }
     THEN("requests are refused at once when all upstreams leave")
@@ -170,7 +171,7 @@
     CHECK_FALSE(statements.find(first, 2000).is_leaving);
     GIVEN("a removal of the upstream")
     {
-        statements.note_removed(first, at_ms(100));
+        statements.note_removed(first, 1000, at_ms(100));
         statements.trim(at_ms(30 * 1000));
         CHECK(statements.size() == 1);
         statements.trim(at_ms(120 * 1000));
@@ -181,10 +182,16 @@
         statements.note_registered(first, 2000);
         CHECK(statements.size() == 0);
     }
-    GIVEN("many upstreams that leave")
+    GIVEN("a removal of an earlier incarnation")
+    {
+        statements.note_removed(first, 500, at_ms(100));
+        statements.trim(at_ms(120 * 1000));
+        CHECK(statements.find(first, 1000).is_leaving);
+    }
+    GIVEN("many upstreams that leave, many of them at once")
     {
         for (int i = 1; i < 10000; ++i)
-            statements.note_leaving(upstream_name("u" + std::to_string(i)), 1000, at_ms(i));
+            statements.note_leaving(upstream_name("u" + std::to_string(i)), 1000, at_ms(i / 5000));
         CHECK(statements.size() <= 4096);
         CHECK(statements.find(upstream_name("u9999"), 1000).is_leaving);
     }
