Log what a refusal rests on

Nobody could tell from the logs of an entry host why a request that an upstream ran had been refused: its line has the status and the last reason only, answers of the HTTP server's own had no line at all, and bytes behind a complete answer were dropped in silence.

--- a/src/fleet/call_protocol.hpp
+++ b/src/fleet/call_protocol.hpp
@@ -31,6 +31,10 @@
     bool is_signed = false;
     /// The upstream states that it did not run the request.
     bool not_executed = false;
+    /// The fields with that statement as they were sent, joined by commas.
+    std::string statement;
+    /// The upstream that names itself as the sender; empty when the answer names none.
+    upstream_name responder;
     std::optional<upstream_load> load;
     std::optional<std::uint32_t> cold_left_ms;
     /// The upstream states that it leaves: it wants no further requests.
--- a/src/fleet/gateway_calls.cpp
+++ b/src/fleet/gateway_calls.cpp
@@ -164,6 +164,8 @@
     attempt_end const end = describe(outcome, facts);
     attempt_verdict const verdict = judge(end);
     report_attempt(item, outcome, end, facts, verdict, now);
+    if (verdict == attempt_verdict::not_run)
+        note_not_run(*item, outcome, end, facts, now);
     if (item->finished)
         return;
     if (verdict == attempt_verdict::relay)
@@ -210,6 +212,37 @@
     board_.report(item->chosen, item->route->name, report, now);
 }
 
+void gateway_node::note_not_run(call const& item, http_outcome const& outcome,
+                                attempt_end const& end, response_metadata const& facts, instant now)
+{
+    not_run_basis const basis = basis_of(end);
+    switch (basis)
+    {
+    case not_run_basis::unsent:
+        ++counters_.not_run_unsent;
+        break;
+    case not_run_basis::misdirected:
+        ++counters_.not_run_misdirected;
+        break;
+    case not_run_basis::stated:
+        ++counters_.not_run_stated;
+        break;
+    }
+    std::string line = "id=" + item.facts.id + " upstream=" + item.chosen.id.value() +
+                       " born_ms=" + std::to_string(item.chosen.born_ms) +
+                       " basis=" + to_string(basis) +
+                       " took_ms=" + integer_text(ms_between(item.sent_at, now));
+    if (end.unsent)
+        line += " reason=\"" + to_string(outcome.cause) + "\"";
+    else
+        line += " status=" + std::to_string(end.status) + " statement=\"" +
+                facts.statement.substr(0, max_logged_value) + "\" responder=\"" +
+                facts.responder.value().substr(0, max_logged_value) +
+                "\" signed=" + (end.is_signed ? "1" : "0") +
+                " connection=" + (outcome.connected_in ? "new" : "kept");
+    log_request("attempt_not_run", line);
+}
+
 bool gateway_node::may_retry(call const& item, attempt_verdict verdict, bool unsent, instant now)
 {
     if (now >= item.deadline)
--- a/src/fleet/gateway_node.cpp
+++ b/src/fleet/gateway_node.cpp
@@ -229,6 +229,9 @@
     line("upstreams_leaving_total", board_.leaving_stated());
     line("upstream_pauses_total", board_.pauses_stated());
     line("bad_frames_total", counters_.bad_frames);
+    line("not_run_unsent_total", counters_.not_run_unsent);
+    line("not_run_misdirected_total", counters_.not_run_misdirected);
+    line("not_run_stated_total", counters_.not_run_stated);
     auto const& http = caller_server_->counters();
     line("http_accepted_total", http.accepted);
     line("http_rejected_total", http.bad_requests);
--- a/src/fleet/gateway_node.hpp
+++ b/src/fleet/gateway_node.hpp
@@ -58,6 +58,10 @@
     std::uint64_t attempts = 0;
     std::uint64_t second_attempts = 0;
     std::uint64_t bad_frames = 0;
+    /// Attempts that count as not run, by what that rests on.
+    std::uint64_t not_run_unsent = 0;
+    std::uint64_t not_run_misdirected = 0;
+    std::uint64_t not_run_stated = 0;
 };
 
 /// Runs on its own event loop. Thread safety: construct, `start`, `leave` and `stop` from the main
@@ -149,6 +153,9 @@
     attempt_end describe(http_outcome const& outcome, response_metadata const& facts) const;
     void report_attempt(call_ptr const& item, http_outcome const& outcome, attempt_end const& end,
                         response_metadata const& facts, attempt_verdict verdict, instant now);
+    /// Logs and counts what a verdict of "not run" rests on.
+    void note_not_run(call const& item, http_outcome const& outcome, attempt_end const& end,
+                      response_metadata const& facts, instant now);
     bool may_retry(call const& item, attempt_verdict verdict, bool unsent, instant now);
     void on_abandoned(call_ptr const& item);
     /// When the caller itself gives up, apart from the route's timeout.
--- a/src/routing/attempt_policy.hpp
+++ b/src/routing/attempt_policy.hpp
@@ -33,6 +33,17 @@
     may_have_run
 };
 
+/// What the verdict `not_run` rests on.
+enum class not_run_basis : std::uint8_t
+{
+    /// No byte of the request left this host.
+    unsent,
+    /// The upstream answered that the request was meant for another one.
+    misdirected,
+    /// The upstream's statement.
+    stated
+};
+
 /// What an attempt indicates about the upstream.
 enum class attempt_result : std::uint8_t
 {
@@ -84,6 +95,31 @@
     return attempt_verdict::relay;
 }
 
+/// What a verdict of `not_run` on the attempt rests on. Thread safe. Precondition: `judge(end)` is
+/// `not_run`.
+constexpr not_run_basis basis_of(attempt_end const& end)
+{
+    constexpr unsigned status_misdirected = 421;
+    if (end.unsent)
+        return not_run_basis::unsent;
+    return end.status == status_misdirected ? not_run_basis::misdirected : not_run_basis::stated;
+}
+
+/// Name of the basis in log lines. Thread safe; no preconditions.
+constexpr char const* to_string(not_run_basis basis)
+{
+    switch (basis)
+    {
+    case not_run_basis::unsent:
+        return "unsent";
+    case not_run_basis::misdirected:
+        return "misdirected";
+    case not_run_basis::stated:
+        return "stated";
+    }
+    return "unknown";
+}
+
 /// Derives what the attempt indicates about the upstream; `verdict` is that of `judge(end)`. Thread
 /// safe; no preconditions.
 constexpr attempt_result classify(attempt_end const& end, attempt_verdict verdict)
--- a/src/transport/connection_pool.cpp
+++ b/src/transport/connection_pool.cpp
@@ -1,7 +1,10 @@
 // Keeps idle connections, and decides which of them may be used again.
 #include "transport/connection_pool.hpp"
 
+#include "base/log.hpp"
+
 #include <algorithm>
+#include <array>
 #include <boost/asio/buffer.hpp>
 #include <utility>
 
@@ -20,6 +23,8 @@
 /// Tenths of an upstream's advertised idle timeout during which a connection is reused. The rest is
 /// a margin against the upstream closing it while a request is on its way.
 constexpr int idle_tenths = 7;
+/// Bytes of a surplus answer that a log line shows: status, and mostly the id of its request.
+constexpr std::size_t max_logged_surplus = 160;
 
 /// N of "Keep-Alive: timeout=N", in seconds; 0 when there is none.
 int keep_alive_timeout_s(std::string_view value)
@@ -38,13 +43,21 @@
     return seconds;
 }
 
-/// False when the peer has closed the connection or sent bytes outside of any response.
-bool is_open_and_idle(tcp::socket& socket)
+/// False when the peer has closed the connection or sent bytes outside of any response; the latter
+/// are logged, since they may be a second answer that contradicts the first.
+bool is_open_and_idle(tcp::socket& socket, endpoint_text const& endpoint)
 {
     beast::error_code code;
-    char byte = 0;
+    std::array<char, max_logged_surplus> head{};
     socket.non_blocking(true, code);
-    socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, code);
+    std::size_t const count = socket.receive(asio::buffer(head), tcp::socket::message_peek, code);
+    if (!code && count > 0)
+    {
+        std::string text(head.data(), count);
+        std::replace_if(
+            text.begin(), text.end(), [](char c) { return c < ' ' || c == '"' || c > '~'; }, ' ');
+        log_request("surplus_answer", "peer=" + endpoint.value() + " head=\"" + text + "\"");
+    }
     return code == asio::error::would_block;
 }
 
@@ -69,7 +82,7 @@
         upstream_connection_ptr candidate = std::move(idle[at]);
         idle.erase(idle.begin() + static_cast<std::ptrdiff_t>(at));
         if (candidate->reuse_until > now && candidate->idle_start >= idle_since &&
-            is_open_and_idle(candidate->stream.socket()))
+            is_open_and_idle(candidate->stream.socket(), endpoint))
             return candidate;
     }
     return nullptr;
--- a/src/transport/http_session.cpp
+++ b/src/transport/http_session.cpp
@@ -26,6 +26,14 @@
 /// Retry-After of requests that don't fit into memory, in seconds.
 constexpr char const* full_retry_after = "1";
 
+/// Address of the caller, for log lines; empty once the connection has ended.
+std::string peer_of(asio::ip::tcp::socket const& socket)
+{
+    beast::error_code code;
+    auto const peer = socket.remote_endpoint(code);
+    return code ? "" : peer.address().to_string() + ":" + std::to_string(peer.port());
+}
+
 /// Sets body and length. An answer to HEAD has no body but may state the length of the one that it
 /// omits; an answer of status 204 or 304 has none, and callers would read it as the next answer.
 void set_body(http::response<http::string_body>& answer, std::string body, bool is_head)
@@ -164,6 +172,10 @@
 void http_session::reject(unsigned status, std::string_view reason)
 {
     ++server_->counters.bad_requests;
+    log_request("request_rejected",
+                "status=" + std::to_string(status) + " peer=" + peer_of(socket_) + " unanswered=" +
+                    std::to_string(slots_.size()) + " answered_any=" + (answered_any_ ? "1" : "0") +
+                    " reason=\"" + std::string(reason) + "\"");
     parser_.reset();
     server_->buffered_bytes -= std::exchange(body_reserved_, 0);
     phase_ = phase::finishing;
