Believe a refusal only where the upstream's answer proves it

Callers saw: a request that may run once refused as not run, though it had run (REFUSED; reported once, without logs). They send it again, and it runs twice.

Cause: the promise rested on single facts, each read alone. The field with the statement counted with any value, also 0; a status of 421 counted whoever sent it; a signature, which only a run yields, and bytes behind the refusal were not looked at. Class: a promise passed on without checking that the evidence is complete and consistent.

Ruled out by reading: requests counted as unsent (the only two places end a call before its first write), and answers of the HTTP server's own (the connection takes no further request after them).

--- a/src/fleet/call_protocol.hpp
+++ b/src/fleet/call_protocol.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "base/ids.hpp"
+#include "routing/attempt_policy.hpp"
 #include "routing/upstream_selector.hpp"
 #include "transport/http_message.hpp"
 
@@ -29,10 +30,9 @@
 {
     /// It bears the upstream's signature.
     bool is_signed = false;
-    /// The upstream states that it did not run the request.
-    bool not_executed = false;
+    execution_statement statement = execution_statement::none;
     /// The fields with that statement as they were sent, joined by commas.
-    std::string statement;
+    std::string statement_text;
     /// The upstream that names itself as the sender; empty when the answer names none.
     upstream_name responder;
     std::optional<upstream_load> load;
--- a/src/fleet/gateway_calls.cpp
+++ b/src/fleet/gateway_calls.cpp
@@ -142,15 +142,19 @@
                                   { on_attempt_end(item, std::move(outcome)); });
 }
 
-attempt_end gateway_node::describe(http_outcome const& outcome,
-                                   response_metadata const& facts) const
+attempt_end gateway_node::describe(call const& item, http_outcome const& outcome,
+                                   response_metadata const& facts)
 {
     attempt_end end;
     end.unsent = outcome.stage == send_stage::unsent;
     end.answered = outcome.response.has_value();
     end.status = end.answered ? outcome.response->status : 0;
     end.is_signed = facts.is_signed;
-    end.not_executed = facts.not_executed;
+    end.statement = facts.statement;
+    if (facts.responder != upstream_name())
+        end.sender =
+            facts.responder == item.chosen.id ? answer_sender::target : answer_sender::other;
+    end.has_surplus = outcome.surplus_bytes > 0;
     return end;
 }
 
@@ -161,11 +165,11 @@
     response_metadata facts;
     if (outcome.response)
         facts = protocol_.read_answer(*outcome.response);
-    attempt_end const end = describe(outcome, facts);
+    attempt_end const end = describe(*item, outcome, facts);
     attempt_verdict const verdict = judge(end);
     report_attempt(item, outcome, end, facts, verdict, now);
-    if (verdict == attempt_verdict::not_run)
-        note_not_run(*item, outcome, end, facts, now);
+    if (verdict == attempt_verdict::not_run || is_unproven_refusal(end))
+        note_refusal(*item, outcome, end, facts, now);
     if (item->finished)
         return;
     if (verdict == attempt_verdict::relay)
@@ -212,35 +216,31 @@
     board_.report(item->chosen, item->route->name, report, now);
 }
 
-void gateway_node::note_not_run(call const& item, http_outcome const& outcome,
+void gateway_node::note_refusal(call const& item, http_outcome const& outcome,
                                 attempt_end const& end, response_metadata const& facts, instant now)
 {
-    not_run_basis const basis = basis_of(end);
-    switch (basis)
+    bool const is_doubted = is_unproven_refusal(end);
+    std::string line = "id=" + item.facts.id + " upstream=" + item.chosen.id.value() +
+                       " born_ms=" + std::to_string(item.chosen.born_ms);
+    if (is_doubted)
+        ++counters_.doubted_refusals;
+    else
     {
-    case not_run_basis::unsent:
-        ++counters_.not_run_unsent;
-        break;
-    case not_run_basis::misdirected:
-        ++counters_.not_run_misdirected;
-        break;
-    case not_run_basis::stated:
-        ++counters_.not_run_stated;
-        break;
+        not_run_basis const basis = basis_of(end);
+        ++counters_.not_run[static_cast<std::size_t>(basis)];
+        line += std::string(" basis=") + to_string(basis);
     }
-    std::string line = "id=" + item.facts.id + " upstream=" + item.chosen.id.value() +
-                       " born_ms=" + std::to_string(item.chosen.born_ms) +
-                       " basis=" + to_string(basis) +
-                       " took_ms=" + integer_text(ms_between(item.sent_at, now));
+    line += " took_ms=" + integer_text(ms_between(item.sent_at, now));
     if (end.unsent)
         line += " reason=\"" + to_string(outcome.cause) + "\"";
     else
         line += " status=" + std::to_string(end.status) + " statement=\"" +
-                facts.statement.substr(0, max_logged_value) + "\" responder=\"" +
+                facts.statement_text.substr(0, max_logged_value) + "\" responder=\"" +
                 facts.responder.value().substr(0, max_logged_value) +
                 "\" signed=" + (end.is_signed ? "1" : "0") +
-                " connection=" + (outcome.connected_in ? "new" : "kept");
-    log_request("attempt_not_run", line);
+                " connection=" + (outcome.connected_in ? "new" : "kept") +
+                " surplus_bytes=" + std::to_string(outcome.surplus_bytes);
+    log_request(is_doubted ? "refusal_doubted" : "attempt_not_run", line);
 }
 
 bool gateway_node::may_retry(call const& item, attempt_verdict verdict, bool unsent, instant now)
--- a/src/fleet/gateway_node.cpp
+++ b/src/fleet/gateway_node.cpp
@@ -229,9 +229,11 @@
     line("upstreams_leaving_total", board_.leaving_stated());
     line("upstream_pauses_total", board_.pauses_stated());
     line("bad_frames_total", counters_.bad_frames);
-    line("not_run_unsent_total", counters_.not_run_unsent);
-    line("not_run_misdirected_total", counters_.not_run_misdirected);
-    line("not_run_stated_total", counters_.not_run_stated);
+    for (auto const basis :
+         {not_run_basis::unsent, not_run_basis::misdirected, not_run_basis::stated})
+        line(std::string("not_run_") + to_string(basis) + "_total",
+             counters_.not_run[static_cast<std::size_t>(basis)]);
+    line("refusals_doubted_total", counters_.doubted_refusals);
     auto const& http = caller_server_->counters();
     line("http_accepted_total", http.accepted);
     line("http_rejected_total", http.bad_requests);
--- a/src/fleet/gateway_node.hpp
+++ b/src/fleet/gateway_node.hpp
@@ -58,10 +58,10 @@
     std::uint64_t attempts = 0;
     std::uint64_t second_attempts = 0;
     std::uint64_t bad_frames = 0;
-    /// Attempts that count as not run, by what that rests on.
-    std::uint64_t not_run_unsent = 0;
-    std::uint64_t not_run_misdirected = 0;
-    std::uint64_t not_run_stated = 0;
+    /// Attempts that count as not run, by `not_run_basis`.
+    std::array<std::uint64_t, 3> not_run{};
+    /// Refusals of upstreams that don't prove that the request was not run.
+    std::uint64_t doubted_refusals = 0;
 };
 
 /// Runs on its own event loop. Thread safety: construct, `start`, `leave` and `stop` from the main
@@ -150,11 +150,12 @@
     void route_call(call_ptr const& item);
     void attempt(call_ptr const& item);
     void on_attempt_end(call_ptr const& item, http_outcome&& outcome);
-    attempt_end describe(http_outcome const& outcome, response_metadata const& facts) const;
+    static attempt_end describe(call const& item, http_outcome const& outcome,
+                                response_metadata const& facts);
     void report_attempt(call_ptr const& item, http_outcome const& outcome, attempt_end const& end,
                         response_metadata const& facts, attempt_verdict verdict, instant now);
-    /// Logs and counts what a verdict of "not run" rests on.
-    void note_not_run(call const& item, http_outcome const& outcome, attempt_end const& end,
+    /// Logs and counts what a verdict of "not run" rests on, or a refusal that proves nothing.
+    void note_refusal(call const& item, http_outcome const& outcome, attempt_end const& end,
                       response_metadata const& facts, instant now);
     bool may_retry(call const& item, attempt_verdict verdict, bool unsent, instant now);
     void on_abandoned(call_ptr const& item);
--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -228,6 +228,7 @@
         connection_->learn_idle_timeout(parser_->get()["Keep-Alive"]);
         http_outcome outcome;
         outcome.stage = send_stage::sent;
+        outcome.surplus_bytes = connection_->buffer.size();
         outcome.response = to_http_response(parser_->release());
         if (!call_.expected_id.empty() &&
             outcome.response->field(call_.id_field) != call_.expected_id)
--- a/src/transport/http_client.hpp
+++ b/src/transport/http_client.hpp
@@ -50,6 +50,8 @@
     /// The complete answer; absent when none was received or it was rejected.
     std::optional<http_response> response;
     send_stage stage = send_stage::unsent;
+    /// Bytes that were received behind the answer; they answer no request.
+    std::size_t surplus_bytes = 0;
     /// Set when there is no response.
     error cause;
     /// Connect time of a new connection; absent when a kept-alive one was used.
--- a/test/correctness/routing/attempt_policy_test.cpp
+++ b/test/correctness/routing/attempt_policy_test.cpp
@@ -17,7 +17,8 @@
     end.answered = true;
     end.status = status;
     end.is_signed = is_signed;
-    end.not_executed = not_executed;
+    if (not_executed)
+        end.statement = execution_statement::not_run;
     return end;
 }
 
@@ -53,6 +54,43 @@
         CHECK(may_relay_failure(answered(500, true)));
         CHECK(may_relay_failure(answered(504, true)));
     }
+    SECTION("a refusal that its own answer contradicts proves nothing")
+    {
+        attempt_end refusal = answered(GENERATE(421u, 429u, 503u), false, true);
+        REQUIRE(judge(refusal) == attempt_verdict::not_run);
+        CHECK_FALSE(is_unproven_refusal(refusal));
+        SECTION("it has the signature of a run")
+        {
+            refusal.is_signed = true;
+        }
+        SECTION("further bytes follow")
+        {
+            refusal.has_surplus = true;
+        }
+        SECTION("its statement is unclear")
+        {
+            refusal.statement = execution_statement::unclear;
+        }
+        CHECK(judge(refusal) == attempt_verdict::may_have_run);
+        CHECK(classify(refusal, judge(refusal)) == attempt_result::failed);
+        CHECK(is_unproven_refusal(refusal));
+        CHECK_FALSE(may_relay_failure(refusal));
+    }
+    SECTION("the addressed upstream does not prove that another one has its address")
+    {
+        attempt_end refusal = answered(421, false, true);
+        refusal.sender = answer_sender::other;
+        CHECK(judge(refusal) == attempt_verdict::not_run);
+        refusal.sender = answer_sender::target;
+        CHECK(judge(refusal) == attempt_verdict::may_have_run);
+    }
+    SECTION("a timeout of the upstream is relayed as \"not run\" only with proof")
+    {
+        attempt_end refusal = answered(408, false, true);
+        CHECK(judge(refusal) == attempt_verdict::relay);
+        refusal.has_surplus = true;
+        CHECK(judge(refusal) == attempt_verdict::may_have_run);
+    }
     SECTION("a response that another upstream has the address counts as \"not run\"")
     {
         CHECK(judge(answered(421, false)) == attempt_verdict::not_run);
