Answer every request of a host that stops, and take none that it can't

Reported by other operators: in a planned stop of one entry host, in calm, requests that came late in the grace period were passed on and cut off at its end without an answer (LOST), among them requests that may run once at most.

Cause: new requests were taken for 2.8 s whatever their upstreams need and whatever the grace period is, and passed on with their whole deadline. At nine tenths of the grace period the process ended with what was in flight.

Evidence: "a planned stop of an entry host leaves no request without an answer" failed on the code before in five of eight cases: upstreams that work for 3.5 s, links that fall silent at 1.5 s, and grace periods of 1 or 2 s (there also beside upstreams that work for 0.7 s). It passes now. Calls that ended at their caller's own deadline don't count.

Why it works: drain_schedule holds the steps of a stop, scaled to the grace period. A request is passed on only if an upstream's predicted answer comes in half of the time that is left; others, and second tries that begin late, are refused at once as not run, or fail. What is unanswered at nine tenths gets 502 or 504, or 503 if nothing was sent; connections close before the process ends.

--- a/src/fleet/gateway_calls.cpp
+++ b/src/fleet/gateway_calls.cpp
@@ -45,8 +45,8 @@
 void gateway_node::on_request(http_request request, std::shared_ptr<http_exchange> exchange)
 {
     ++counters_.requests;
-    ++in_flight_;
     auto item = std::make_shared<call>();
+    calls_.insert(item);
     item->arrived = instant::clock::now();
     item->facts = protocol_.read_call(request);
     item->request = std::move(request);
@@ -75,7 +75,7 @@
 {
     if (!item->table)
         return refuse(item, "no configuration received yet", expected_start_ms(item->arrived));
-    if (item->arrived >= refuse_from_)
+    if (item->arrived >= drain_.refuse_from)
         return refuse(item, "this host is draining", leaving_retry_after_ms);
     item->route = item->table->find(item->facts.host, path_of(item->request.target));
     if (item->route == nullptr)
@@ -109,9 +109,12 @@
         return answer_failure(item, false, "this host was paused and its fleet view may be stale",
                               ms_between(now, view_unverified_until_));
     pick_refusal refusal;
-    auto const chosen = board_.choose(
-        {*item->route, item->service, item->facts.object, item->tried, item->deadline}, now,
-        refusal);
+    auto const chosen = board_.choose({*item->route, item->service, item->facts.object, item->tried,
+                                       item->deadline, drain_.answer_by},
+                                      now, refusal);
+    if (!chosen && is_leaving())
+        return answer_failure(item, false, "no upstream can answer before this host stops",
+                              leaving_retry_after_ms);
     if (!chosen)
     {
         bool const late = refusal.why == pick_failure::too_late;
@@ -192,6 +195,9 @@
     std::string const reason = outcome.response
                                    ? "upstream answered with status " + std::to_string(end.status)
                                    : to_string(outcome.cause);
+    if (is_cutting_short_)
+        return answer_failure(item, now >= item->deadline, "this host stops: " + reason,
+                              leaving_retry_after_ms);
     answer_failure(item, now >= item->deadline, reason, 0);
 }
 
@@ -245,7 +251,7 @@
 
 bool gateway_node::may_retry(call const& item, attempt_verdict verdict, bool unsent, instant now)
 {
-    if (now >= item.deadline)
+    if (now >= item.deadline || is_cutting_short_)
         return false;
     if (verdict == attempt_verdict::may_have_run && !item.route->idempotent)
         return false;
@@ -264,7 +270,7 @@
     if (item->finished)
         return;
     item->finished = true;
-    --in_flight_;
+    calls_.erase(item);
     ++counters_.abandoned;
     log_request("request", "id=" + item->facts.id + " outcome=abandoned took_ms=" +
                                integer_text(ms_between(item->arrived, instant::clock::now())) +
@@ -306,7 +312,7 @@
     if (item->finished)
         return;
     item->finished = true;
-    --in_flight_;
+    calls_.erase(item);
     double const took = ms_between(item->arrived, instant::clock::now());
     auto const bucket = std::lower_bound(bucket_ms.begin(), bucket_ms.end(), took);
     ++latencies_[static_cast<std::size_t>(bucket - bucket_ms.begin())];
--- a/src/fleet/gateway_node.cpp
+++ b/src/fleet/gateway_node.cpp
@@ -7,7 +7,6 @@
 #include "fleet/gateway_readiness.hpp"
 
 #include <algorithm>
-#include <future>
 #include <random>
 
 namespace guavashed
@@ -20,11 +19,6 @@
 constexpr milliseconds max_pause{1000};
 /// Sessions are reopened within this time after a pause, if control hosts are reachable at all.
 constexpr milliseconds resync_window{1500};
-/// New requests are served for this long after a stop was requested, since callers cache look-up
-/// answers. Later ones are refused, so that the requests in flight can finish.
-constexpr milliseconds drain_accept_window{2800};
-/// For callers to close their connections after the last answers.
-constexpr milliseconds settle_timeout{1000};
 /// Fractions of the fleet's retry budget that hosts use: tokens kept by hosts may be spent in one
 /// window with those earned in it, and hosts that have just joined are not counted yet.
 constexpr double ratio_fraction = 0.9;
@@ -171,42 +165,6 @@
         allowance.set(settings_.retry_ratio * ratio_fraction, retry_burst_);
 }
 
-void gateway_node::leave(instant until)
-{
-    std::promise<void> drain_started;
-    boost::asio::post(event_loop_.context(),
-                      [&]
-                      {
-                          leaving_ = true;
-                          refuse_from_ = instant::clock::now() + drain_accept_window;
-                          caller_server_->drain();
-                          report_when_due(instant::clock::now());
-                          drain_started.set_value();
-                      });
-    drain_started.get_future().wait();
-    log_change(log_level::info, "entry_leaving", "in_flight=" + std::to_string(in_flight_));
-    instant const refuse_from = instant::clock::now() + drain_accept_window;
-    bool idle = false;
-    while (!idle && instant::clock::now() < until)
-    {
-        std::this_thread::sleep_for(milliseconds(100));
-        std::promise<bool> done;
-        boost::asio::post(
-            event_loop_.context(),
-            [&] { done.set_value(in_flight_ == 0 && instant::clock::now() > refuse_from); });
-        idle = done.get_future().get();
-    }
-    caller_server_->close();
-    // Connections end here as their callers read the last answers; one that the process left open
-    // with unread bytes would be reset.
-    instant const settled_by = std::min(until, instant::clock::now() + settle_timeout);
-    while (!caller_server_->closed() && instant::clock::now() < settled_by)
-        std::this_thread::sleep_for(milliseconds(20));
-    log_change(log_level::info, "entry_left",
-               std::string("idle=") + (idle ? "1" : "0") +
-                   " open_connections=" + std::to_string(caller_server_->counters().open));
-}
-
 void gateway_node::stop()
 {
     event_loop_.stop();
@@ -233,6 +191,7 @@
          {not_run_basis::unsent, not_run_basis::misdirected, not_run_basis::stated})
         line(std::string("not_run_") + to_string(basis) + "_total",
              counters_.not_run[static_cast<std::size_t>(basis)]);
+    line("cut_short_by_stop_total", counters_.cut_short_by_stop);
     line("refusals_doubted_total", counters_.doubted_refusals);
     auto const& http = caller_server_->counters();
     line("http_accepted_total", http.accepted);
@@ -241,7 +200,7 @@
     line("http_refused_for_memory_total", http.refused_for_memory);
     line("http_handler_failures_total", http.handler_failures);
     line("http_open_connections", http.open);
-    line("in_flight", in_flight_);
+    line("in_flight", calls_.size());
     line("control_sessions", open_sessions());
     line("view_index", view_index_);
     line("config_version", table_ ? table_->config().version.value() : 0);
--- a/src/fleet/gateway_node.hpp
+++ b/src/fleet/gateway_node.hpp
@@ -5,6 +5,7 @@
 
 #include "base/ticker.hpp"
 #include "fleet/call_protocol.hpp"
+#include "fleet/drain_schedule.hpp"
 #include "fleet/view_messages.hpp"
 #include "routing/attempt_policy.hpp"
 #include "routing/link_budget.hpp"
@@ -60,6 +61,8 @@
     std::uint64_t bad_frames = 0;
     /// Attempts that count as not run, by `not_run_basis`.
     std::array<std::uint64_t, 3> not_run{};
+    /// Requests that were unanswered at the end of a planned stop.
+    std::uint64_t cut_short_by_stop = 0;
     /// Refusals of upstreams that don't prove that the request was not run.
     std::uint64_t doubted_refusals = 0;
 };
@@ -74,9 +77,9 @@
     ~gateway_node() override;
 
     result<void> start();
-    /// Drains: serves requests in flight, and for a while new ones, then closes the caller port;
-    /// returns by `until`.
-    void leave(instant until);
+    /// Drains: serves requests in flight, and for a while new ones that an upstream can answer in
+    /// time, answers the rest itself, then closes the caller port. Call once.
+    void leave(drain_schedule const& schedule);
     void stop();
     /// Peer endpoints in reloaded settings; connects to those that are new. Thread safe.
     void add_seeds(std::vector<endpoint_text> seeds);
@@ -145,7 +148,14 @@
     void on_changes(fleet_changes changes, frame_session const& session);
     void adopt_config(routing_config config);
     void update_control_links(std::vector<endpoint_text> const& controls);
-    bool is_ready() const { return table_ != nullptr && !leaving_; }
+    bool is_leaving() const { return drain_.end_by != instant::max(); }
+    bool is_ready() const { return table_ != nullptr && !is_leaving(); }
+    /// Runs `action` on the event loop and returns its result. Not on the event loop itself.
+    template <class Action>
+    auto on_event_loop(Action action);
+    /// Ends the attempts of all unanswered requests, which get an answer of this host's own.
+    /// Returns their number.
+    std::size_t cut_short();
 
     void route_call(call_ptr const& item);
     void attempt(call_ptr const& item);
@@ -196,13 +206,14 @@
     std::map<service_name, retry_token_bucket> allowances_;
     /// Most retries that this host saves up for one service.
     double retry_burst_ = 1;
-    std::uint64_t in_flight_ = 0;
+    /// Requests that are not answered yet.
+    std::set<call_ptr> calls_;
     /// Spreads the returns of refused callers.
     std::minstd_rand random_{std::random_device{}()};
     instant const started_ = instant::clock::now();
-    bool leaving_ = false;
-    /// While draining, requests that arrive from then on are refused.
-    instant refuse_from_ = instant::max();
+    /// In the future while no stop is requested.
+    drain_schedule drain_;
+    bool is_cutting_short_ = false;
     /// Time of the last tick; a long gap means that the process was paused.
     instant last_tick_ = instant::clock::now();
     /// No requests are sent to upstreams until then, after a pause: sessions with control hosts
--- a/src/routing/upstream_selector.cpp
+++ b/src/routing/upstream_selector.cpp
@@ -31,6 +31,9 @@
 /// A request that would queue and be answered later than this many latency objectives is refused at
 /// once, because it would take a slot from requests that can still be answered in time.
 constexpr double max_queued_answer_objectives = 1.25;
+/// A host that stops needs this multiple of the predicted time of an answer: an upstream that does
+/// not have the object cached takes longer than predicted, and the request would be cut off.
+constexpr double stop_margin = 2;
 
 } // namespace
 
@@ -254,13 +257,16 @@
                                       instant now) const
 {
     double const left = std::chrono::duration<double, std::milli>(request.deadline - now).count();
+    double const left_of_host =
+        std::chrono::duration<double, std::milli>(request.host_stops_at - now).count();
     // A late answer from a free slot delays no other request, and the upstream has the object
     // cached afterwards.
     double const queued_too_long =
         item.wait_ms <= 0
             ? 0
             : item.cost_ms - max_queued_answer_objectives * request.route.objective_ms;
-    return std::max(item.answer_ms - left, queued_too_long);
+    return std::max(
+        {item.answer_ms - left, item.answer_ms * stop_margin - left_of_host, queued_too_long});
 }
 
 double upstream_selector::next_usable_ms(pick_request const& request, instant now) const
--- a/src/routing/upstream_selector.hpp
+++ b/src/routing/upstream_selector.hpp
@@ -54,6 +54,8 @@
     /// Upstreams that earlier attempts of this request were sent to.
     std::set<upstream_name> const& tried;
     instant deadline;
+    /// When this host stops waiting for answers, whatever the deadline.
+    instant host_stops_at = instant::max();
 };
 
 /// The upstream picked, and the estimates behind the decision.
--- a/standin/platform_caller.cpp
+++ b/standin/platform_caller.cpp
@@ -19,8 +19,8 @@
 } // namespace
 
 platform_caller::platform_caller(platform_caller_settings settings)
-    : settings_(std::move(settings)), random_(settings_.seed), event_loop_("caller"),
-      client_(event_loop_), timer_(event_loop_.context())
+    : settings_(std::move(settings)), random_(settings_.seed), entries_(settings_.entries),
+      event_loop_("caller"), client_(event_loop_), timer_(event_loop_.context())
 {
 }
 
@@ -38,7 +38,7 @@
 {
     if (stopping_)
         return;
-    if (instant::clock::now() >= next_lookup_)
+    if (settings_.entries.empty() && instant::clock::now() >= next_lookup_)
         look_up();
     if (!entries_.empty())
         send();
--- a/standin/platform_caller.hpp
+++ b/standin/platform_caller.hpp
@@ -23,6 +23,8 @@
     std::string unsafe_prefix;
     /// Addresses of the hosts that answer directory lookups.
     std::vector<std::string> lookup_addresses;
+    /// Entry hosts to call without looking them up.
+    std::vector<std::string> entries;
     std::string region;
     std::string domain;
     /// Requests per second.
--- /dev/null
+++ b/test/correctness/fleet/stop_test.cpp
@@ -0,0 +1,140 @@
+// Guards against requests that a planned stop of their entry host cuts off without an answer.
+#include "platform_caller.hpp"
+#include "platform_fleet.hpp"
+#include "platform_invariants.hpp"
+
+#include <catch2/catch.hpp>
+#include <csignal>
+#include <map>
+#include <thread>
+
+using namespace fleet_test;
+using guavashed::instant;
+using guavashed::milliseconds;
+
+namespace
+{
+
+constexpr unsigned calls_per_s = 25;
+constexpr unsigned deadline_ms = 4000;
+/// Longest time from a caller's last byte to the end of a connection whose request was not read.
+constexpr double loss_slack_ms = 200;
+
+platform_fleet_options options_for(unsigned work_ms, double grace_s)
+{
+    platform_fleet_options options;
+    options.work_folder = std::string(GUAVASHED_BINARY_FOLDER) + "/run/stop";
+    options.binary = std::string(GUAVASHED_BINARY_FOLDER) + "/guavashed-platform";
+    options.base_port = 24800;
+    options.controls = 3;
+    options.entries = 2;
+    options.upstreams = 8;
+    options.slots = 16;
+    options.work_ms = work_ms;
+    options.route_timeout_ms = deadline_ms;
+    options.grace_s = grace_s;
+    options.relays = true;
+    return options;
+}
+
+/// Callers that keep calling one entry host, also after it was told to stop.
+class stopping_host
+{
+public:
+    explicit stopping_host(platform_fleet_options const& options)
+        : fleet_(options), caller_(caller_settings())
+    {
+        REQUIRE(fleet_.start());
+        caller_.start();
+        // Long enough to learn how long the upstreams work.
+        sleep(2000 + 2 * static_cast<int>(options.work_ms));
+        stopped_ = instant::clock::now();
+        fleet_.processes().signal("e0", SIGTERM);
+    }
+
+    static void sleep(int ms) { std::this_thread::sleep_for(milliseconds(ms)); }
+    platform_fleet& fleet() { return fleet_; }
+
+    /// Waits until the process has ended, and checks what callers got.
+    void finish()
+    {
+        CHECK(fleet_.processes().await("e0", fleet_.options().grace_s) == 0);
+        CHECK(instant::clock::now() - stopped_ <
+              milliseconds(static_cast<int>(fleet_.options().grace_s * 1000)));
+        caller_.finish();
+        auto const calls = caller_.calls();
+        auto const report = check_invariants(calls, fleet_.records());
+        for (auto const& violation : report.violations)
+            UNSCOPED_INFO(violation);
+        UNSCOPED_INFO(to_string(report.counts));
+        CHECK(report.violations.empty());
+        CHECK(report.counts.served > 0);
+        std::map<std::string, std::size_t> arrivals;
+        for (auto const& record : fleet_.records())
+            for (auto const& arrival : record.arrivals)
+                ++arrivals[arrival.id];
+        std::size_t cut = 0;
+        for (auto const& [id, call] : calls)
+        {
+            // A caller that gave up at its own deadline was not cut off.
+            bool const is_unanswered = call.sent && call.status == 0 && call.took_ms < deadline_ms;
+            if (!is_unanswered || (arrivals[id] == 0 && call.took_ms < loss_slack_ms))
+                continue;
+            ++cut;
+            UNSCOPED_INFO(id << (call.at_most_once ? ", at most once," : "") << " sent "
+                             << guavashed::remaining_ms(call.at, stopped_)
+                             << " ms after the signal was cut after " << call.took_ms << " ms, "
+                             << arrivals[id] << " arrivals");
+        }
+        CHECK(cut == 0);
+    }
+
+private:
+    standin::platform_caller_settings caller_settings() const
+    {
+        auto settings = fleet_.caller_settings(calls_per_s);
+        settings.entries = {fleet_.entry_endpoint(0).value()};
+        settings.deadline_ms = deadline_ms;
+        return settings;
+    }
+
+    platform_fleet fleet_;
+    standin::platform_caller caller_;
+    instant stopped_;
+};
+
+} // namespace
+
+SCENARIO("a planned stop of an entry host leaves no request without an answer")
+{
+    GIVEN("upstreams that work for a short or a long part of the grace period")
+    {
+        unsigned const work_ms = GENERATE(700u, 2600u, 3500u);
+        INFO("work_ms " << work_ms);
+        stopping_host(options_for(work_ms, 6)).finish();
+    }
+    GIVEN("a grace period shorter than the work of upstreams")
+    {
+        auto const [work_ms, grace_s] =
+            GENERATE(table<unsigned, double>({{700u, 1.0}, {700u, 2.0}, {2600u, 2.0}}));
+        INFO("work_ms " << work_ms << ", grace_s " << grace_s);
+        stopping_host(options_for(work_ms, grace_s)).finish();
+    }
+    GIVEN("links to the upstreams that fall silent during the stop")
+    {
+        stopping_host host(options_for(700, 6));
+        stopping_host::sleep(1500);
+        for (unsigned i = 0; i < host.fleet().options().upstreams; ++i)
+            host.fleet().relay_of(i).set(relay_mode::one_way);
+        host.finish();
+    }
+    GIVEN("an entry host that is paused during the stop")
+    {
+        stopping_host host(options_for(700, 6));
+        stopping_host::sleep(700);
+        host.fleet().processes().signal("e0", SIGSTOP);
+        stopping_host::sleep(1500);
+        host.fleet().processes().signal("e0", SIGCONT);
+        host.finish();
+    }
+}
--- a/test/fleet/platform_fleet.cpp
+++ b/test/fleet/platform_fleet.cpp
@@ -107,7 +107,8 @@
            std::to_string(options_.base_port + first_peer_port) + "," +
            std::to_string(options_.base_port + last_peer_port) + "\nseeds=" + seeds +
            "\nlimits.max_fds=4096\nheartbeat_ms=300\n"
-           "bounds=retry_budget=0.2,budget_extra=64,ttl_max_s=5,grace_s=6\n";
+           "bounds=retry_budget=0.2,budget_extra=64,ttl_max_s=5,grace_s=" +
+           std::to_string(options_.grace_s) + "\n";
 }
 
 void platform_fleet::spawn(std::string const& name, std::string const& settings)
@@ -153,6 +154,7 @@
     settings.announced = upstream_address(i, options_.relays ? relay_port : upstream_port);
     settings.controls = control_addresses();
     settings.work_ms = options_.work_ms;
+    settings.slots = options_.slots;
     settings.warmup_ms = warmup_ms;
     settings.unanswered_share = options_.unanswered_share;
     settings.shed_share = options_.shed_share;
@@ -251,11 +253,12 @@
 
 std::string platform_fleet::document(std::uint64_t version) const
 {
-    auto const route = [](char const* prefix, char const* kind)
+    auto const route = [this](char const* prefix, char const* kind)
     {
         return "{\"host\":\"roster.example\",\"path_prefix\":\"" + std::string(prefix) +
                "\",\"route_type\":\"" + kind +
-               "\",\"timeout_ms\":1000,\"target_latency_ms\":400,\"max_attempts\":2,"
+               "\",\"timeout_ms\":" + std::to_string(options_.route_timeout_ms) +
+               ",\"target_latency_ms\":400,\"max_attempts\":2,"
                "\"priority\":0,\"session_affinity\":true,\"service\":\"roster\"}";
     };
     std::string unused;
--- a/test/fleet/platform_fleet.hpp
+++ b/test/fleet/platform_fleet.hpp
@@ -28,6 +28,12 @@
     unsigned entries = 3;
     unsigned upstreams = 6;
     unsigned work_ms = 30;
+    /// Requests that one upstream works on at the same time.
+    unsigned slots = 4;
+    /// Longest time that the configured routes keep a caller waiting.
+    unsigned route_timeout_ms = 1000;
+    /// From a stop signal to the end of the process at the latest.
+    double grace_s = 6;
     /// Fraction of requests that upstreams execute but never answer.
     double unanswered_share = 0;
     /// Fraction of requests that upstreams reject without executing them.
