Answer what has reached a control host before it stops

Callers saw: look-ups, announcements and orders on new connections to a control host that was being stopped ended without an answer.

Cause: leave() handed leadership over and returned; the event loop was stopped at once, with requests in the kernel's backlog, requests that were read, and answers that were not written yet. The entry host's port has closed in an orderly way since, the control host's never did.

Found while looking for the cause of LOST at the end of the grace period elsewhere.

Why it works: answers close their connections from the signal on, reads that are pending count as unfinished, and the ports close as those of entry hosts do, within a second at most.

--- a/src/fleet/registry_node.cpp
+++ b/src/fleet/registry_node.cpp
@@ -20,6 +20,9 @@
 constexpr milliseconds group_heartbeat{100};
 constexpr milliseconds group_election{600};
 constexpr milliseconds watch_interval{200};
+/// For connections to end after the last answers of a planned stop.
+constexpr milliseconds close_timeout{1000};
+constexpr milliseconds close_poll_interval{20};
 
 } // namespace
 
@@ -266,6 +269,7 @@
 
 void registry_node::leave(instant until)
 {
+    port_->drain();
     bool done = false;
     while (!done && instant::clock::now() < until)
     {
@@ -280,13 +284,22 @@
                               if (leads)
                                   raft_->hand_over(now);
                               replica_->drive();
-                              unfinished.set_value(leads || !pending_.empty());
+                              unfinished.set_value(leads || !pending_.empty() ||
+                                                   !pending_reads_.empty());
                           });
         done = !unfinished.get_future().get();
         if (!done)
             std::this_thread::sleep_for(milliseconds(100));
     }
-    log_change(log_level::info, "control_left", std::string("handed_over=") + (done ? "1" : "0"));
+    // Requests that have reached this host are answered; one that is cut may be an order that its
+    // caller must not repeat without knowing its outcome.
+    port_->close();
+    instant const closed_by = instant::clock::now() + close_timeout;
+    while (!port_->closed() && instant::clock::now() < closed_by)
+        std::this_thread::sleep_for(close_poll_interval);
+    log_change(log_level::info, "control_left",
+               std::string("handed_over=") + (done ? "1" : "0") +
+                   " closed=" + (port_->closed() ? "1" : "0"));
 }
 
 void registry_node::stop()
--- a/src/fleet/registry_node.hpp
+++ b/src/fleet/registry_node.hpp
@@ -65,8 +65,8 @@
 
     /// Opens the data folder and the ports.
     result<void> start();
-    /// Hands leadership over before a planned stop; returns when this host doesn't lead and no
-    /// request is pending, or by `until`.
+    /// Hands leadership over before a planned stop, until this host doesn't lead and no request is
+    /// pending, or until `until`; then answers what has arrived, closes the ports and returns.
     void leave(instant until);
     void stop();
     /// Peer endpoints in reloaded settings; connects to those that are new. Thread safe.
--- a/src/fleet/registry_port.hpp
+++ b/src/fleet/registry_port.hpp
@@ -4,6 +4,7 @@
 
 #include "fleet/registry_node.hpp"
 
+#include <algorithm>
 #include <functional>
 #include <memory>
 #include <vector>
@@ -27,6 +28,25 @@
         return servers_.back()->listen(where);
     }
 
+    /// Answers close their connections from now on.
+    void drain()
+    {
+        for (auto const& item : servers_)
+            item->drain();
+    }
+    /// Refuses new connections and closes idle ones.
+    void close()
+    {
+        for (auto const& item : servers_)
+            item->close();
+    }
+    /// Whether all connections have ended after `close`. Thread safe.
+    bool closed() const
+    {
+        return std::all_of(servers_.begin(), servers_.end(),
+                           [](auto const& item) { return item->closed(); });
+    }
+
     void on_request(http_request request, std::shared_ptr<http_exchange> exchange) override
     {
         on_request_(std::move(request), std::move(exchange));
--- a/test/correctness/fleet/stop_test.cpp
+++ b/test/correctness/fleet/stop_test.cpp
@@ -1,8 +1,11 @@
 // Guards against requests that a planned stop of their entry host cuts off without an answer.
+#include "../../error/raw_caller.hpp"
+#include "base/endpoint.hpp"
 #include "platform_caller.hpp"
 #include "platform_fleet.hpp"
 #include "platform_invariants.hpp"
 
+#include <atomic>
 #include <catch2/catch.hpp>
 #include <csignal>
 #include <map>
@@ -138,3 +141,40 @@
         host.finish();
     }
 }
+
+// Guards against look-ups and announcements that a control host has read and never answers.
+SCENARIO("a planned stop of a control host leaves no request without an answer")
+{
+    platform_fleet fleet(options_for(30, 6));
+    REQUIRE(fleet.start());
+    unsigned const stopped = GENERATE(0u, 1u, 2u);
+    auto const control = guavashed::parse_endpoint(fleet.control_endpoint(stopped)).value();
+    std::atomic<bool> ended{false};
+    std::atomic<int> answered{0};
+    std::atomic<int> cut{0};
+    std::vector<std::thread> callers;
+    for (int i = 0; i < 6; ++i)
+        callers.emplace_back(
+            [&]
+            {
+                while (!ended)
+                {
+                    auto const result = guavashed::call_once(
+                        control,
+                        "GET /v1/resolve?name=roster.example&region=north&zone=north-a "
+                        "HTTP/1.1\r\nHost: c\r\n\r\n",
+                        "ttl_s");
+                    answered += result == guavashed::call_result::answered ? 1 : 0;
+                    std::this_thread::sleep_for(milliseconds(1));
+                    cut += result == guavashed::call_result::cut ? 1 : 0;
+                }
+            });
+    stopping_host::sleep(300);
+    fleet.processes().signal(fleet.control_name(stopped), SIGTERM);
+    CHECK(fleet.processes().await(fleet.control_name(stopped), 6) == 0);
+    ended = true;
+    for (auto& item : callers)
+        item.join();
+    CHECK(answered > 100);
+    CHECK(cut == 0);
+}
--- a/test/error/raw_caller.hpp
+++ b/test/error/raw_caller.hpp
@@ -103,12 +103,12 @@
 };
 
 /// Opens a connection, sends one request and waits for an answer that contains `end`.
-inline call_result call_once(unsigned short port, std::string const& request,
+inline call_result call_once(boost::asio::ip::tcp::endpoint const& to, std::string const& request,
                              std::string const& end)
 {
     try
     {
-        raw_caller caller(port, request);
+        raw_caller caller(to, request);
         bool const whole = caller.receive_until(end).find(end) != std::string::npos;
         return whole ? call_result::answered : call_result::cut;
     }
@@ -118,4 +118,11 @@
     }
 }
 
+/// The same, to a port of 127.0.0.1.
+inline call_result call_once(unsigned short port, std::string const& request,
+                             std::string const& end)
+{
+    return call_once({boost::asio::ip::make_address("127.0.0.1"), port}, request, end);
+}
+
 } // namespace guavashed
