Let the soak repeat answers, deliver requests late, and restart upstreams under their id

The soak could not have seen a false refusal of many kinds: it looked for a promise in status 503 alone, its upstreams refused only on arrival, and its links never repeated or held up data.

check_call reads 408, 421 and 429 as promises too. Upstreams count a request as run when its work starts, and refuse one whose deadline passed in their queue. Relays can send answers twice or hold requests up beyond their caller's close; upstreams restart under the id that they had.

--- a/standin/platform_upstream.cpp
+++ b/standin/platform_upstream.cpp
@@ -12,6 +12,19 @@
 
 constexpr milliseconds announcement_timeout{1000};
 constexpr double warmup_slowdown = 2;
+/// For requests that state no time left.
+constexpr int default_time_left_ms = 30000;
+
+http_response refusal(std::string const& id)
+{
+    return {503, {{"X-Guavashed-Request-Id", id}, {"X-Guavashed-Not-Executed", "1"}}, ""};
+}
+
+milliseconds time_left(http_request const& request)
+{
+    std::string const value(request.field("X-Guavashed-Request-Deadline"));
+    return milliseconds(value.empty() ? default_time_left_ms : std::stoi(value));
+}
 
 } // namespace
 
@@ -182,16 +195,17 @@
         return;
     auto item = std::make_shared<work>();
     item->id = id;
+    item->deadline = instant::clock::now() + time_left(request);
     item->exchange = std::move(exchange);
     bool const full = (running_ >= settings_.slots && waiting_.size() >= settings_.queue) ||
                       draw(settings_.shed_share);
     {
         std::lock_guard const guard(mutex_);
-        record_.arrivals.push_back({id, instant::clock::now(), !full, states_leaving_, {}});
+        item->arrival = record_.arrivals.size();
+        record_.arrivals.push_back({id, instant::clock::now(), false, states_leaving_, {}});
     }
     if (full)
-        return item->exchange->respond(with_statements(
-            {503, {{"X-Guavashed-Request-Id", id}, {"X-Guavashed-Not-Executed", "1"}}, ""}));
+        return item->exchange->respond(with_statements(refusal(id)));
     item->exchange->when_abandoned(
         [this, item]
         {
@@ -210,6 +224,10 @@
 void platform_upstream::start_work(std::shared_ptr<work> const& item)
 {
     ++running_;
+    {
+        std::lock_guard const guard(mutex_);
+        record_.arrivals[item->arrival].ran = true;
+    }
     double took = settings_.work_ms;
     if (instant::clock::now() < started_ + milliseconds(settings_.warmup_ms))
         took *= warmup_slowdown;
@@ -223,16 +241,28 @@
         });
 }
 
-void platform_upstream::finish(std::shared_ptr<work> const& item)
+void platform_upstream::start_waiting()
 {
-    --running_;
     while (!waiting_.empty() && running_ < settings_.slots)
     {
         auto const next = waiting_.front();
         waiting_.pop_front();
-        if (!next->abandoned)
+        if (next->abandoned)
+            continue;
+        if (instant::clock::now() < next->deadline)
+        {
             start_work(next);
+            continue;
+        }
+        pending_.erase(next);
+        next->exchange->respond(with_statements(refusal(next->id)));
     }
+}
+
+void platform_upstream::finish(std::shared_ptr<work> const& item)
+{
+    --running_;
+    start_waiting();
     bool const lost = draw(settings_.unanswered_share);
     if (item->abandoned || lost)
         return;
--- a/standin/platform_upstream.hpp
+++ b/standin/platform_upstream.hpp
@@ -98,6 +98,9 @@
     struct work
     {
         std::string id;
+        /// Index of its arrival in the record.
+        std::size_t arrival = 0;
+        guavashed::instant deadline;
         std::shared_ptr<guavashed::http_exchange> exchange;
         std::unique_ptr<boost::asio::steady_timer> timer;
         bool abandoned = false;
@@ -106,6 +109,8 @@
     void schedule_announcement();
     std::string announcement() const;
     void start_work(std::shared_ptr<work> const& item);
+    /// Starts requests that wait while slots are free, and rejects those whose deadline has passed.
+    void start_waiting();
     void finish(std::shared_ptr<work> const& item);
     std::string load() const;
     bool draw(double share);
--- a/test/fleet/platform_fleet.cpp
+++ b/test/fleet/platform_fleet.cpp
@@ -140,6 +140,17 @@
 }
 
 void platform_fleet::start_upstream(unsigned i, unsigned warmup_ms)
+{
+    ++incarnations_[i];
+    run_upstream(i, warmup_ms);
+}
+
+void platform_fleet::restart_upstream(unsigned i)
+{
+    run_upstream(i, 0);
+}
+
+void platform_fleet::run_upstream(unsigned i, unsigned warmup_ms)
 {
     if (upstreams_[i])
     {
@@ -147,7 +158,7 @@
         ended_records_.push_back(upstreams_[i]->record());
     }
     standin::platform_upstream_settings settings;
-    settings.id = "u" + std::to_string(i) + "-" + std::to_string(++incarnations_[i]);
+    settings.id = "u" + std::to_string(i) + "-" + std::to_string(incarnations_[i]);
     settings.service = "roster";
     settings.domain = location_of(i).domain;
     settings.listen = upstream_address(i, upstream_port);
--- a/test/fleet/platform_fleet.hpp
+++ b/test/fleet/platform_fleet.hpp
@@ -64,6 +64,8 @@
     /// Starts a new incarnation of upstream `i` with a new id at the same address; a running one is
     /// stopped as if it had crashed. Throws std::runtime_error when it cannot listen.
     void start_upstream(unsigned i, unsigned warmup_ms = 0);
+    /// Starts upstream `i` again under the id that it has; it then knows nothing of before.
+    void restart_upstream(unsigned i);
     /// Deletes a control host's data directory. Precondition: its process has ended.
     void lose_disk(unsigned control);
 
@@ -113,6 +115,7 @@
     std::string common_settings(std::string const& name, std::string const& ip,
                                 location const& where) const;
     void spawn(std::string const& name, std::string const& settings);
+    void run_upstream(unsigned i, unsigned warmup_ms);
     std::vector<std::string> control_addresses() const;
     guavashed::http_outcome call(guavashed::http_call call);
     std::string document(std::uint64_t version) const;
--- a/test/fleet/platform_invariants.cpp
+++ b/test/fleet/platform_invariants.cpp
@@ -23,15 +23,21 @@
     std::vector<instant> at;
 };
 
+/// Statuses that promise that a request has not run and never will.
+bool promises_not_run(unsigned status)
+{
+    return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
 void check_call(std::string const& id, standin::platform_call const& call, seen_request const& seen,
                 std::vector<std::string>& violations)
 {
     std::string const what = id + " sent to " + call.entry;
     if (call.at_most_once && seen.runs > 1)
         violations.push_back(what + " ran " + std::to_string(seen.runs) + " times");
-    if (call.at_most_once && call.status == 503 && seen.runs > 0)
-        violations.push_back(what + " got status 503 (not run), but ran " +
-                             std::to_string(seen.runs) + " times");
+    if (call.at_most_once && promises_not_run(call.status) && seen.runs > 0)
+        violations.push_back(what + " got status " + std::to_string(call.status) +
+                             " (not run), but ran " + std::to_string(seen.runs) + " times");
     if (call.status == 200 && !call.verified_response)
         violations.push_back(what + " got a response that does not belong to it");
     if (call.status == 200 && seen.runs == 0)
--- a/test/fleet/platform_soak.cpp
+++ b/test/fleet/platform_soak.cpp
@@ -29,6 +29,8 @@
 constexpr unsigned max_disks_lost = 2;
 /// Mean of the steps from one upstream that states that it leaves to the next.
 constexpr unsigned steps_between_leaving = 8;
+/// Mean of the steps from one link that repeats or holds up data to the next.
+constexpr unsigned steps_between_odd_links = 4;
 /// What a link held up arrives within this time after it is whole again.
 constexpr guavashed::milliseconds link_settle{1000};
 
@@ -36,7 +38,7 @@
 {
 public:
     fault_source(platform_fleet& fleet, std::uint64_t seed)
-        : fleet_(fleet), random_(seed), statement_random_(seed)
+        : fleet_(fleet), random_(seed), statement_random_(seed), link_random_(seed)
     {
     }
 
@@ -58,6 +60,8 @@
         // Drawn apart, so that earlier seeds still draw the same faults.
         if (statement_random_() % steps_between_leaving == 0)
             state_leaving();
+        if (link_random_() % steps_between_odd_links == 0)
+            disturb_answers();
     }
 
     /// Reverts all faults in effect.
@@ -229,6 +233,28 @@
                           fleet_.relay_of(i).set(relay_mode::pass);
                       });
     }
+    /// Repeats answers of an upstream, or delivers requests to it late; it may start again under
+    /// its id meanwhile.
+    void disturb_answers()
+    {
+        static constexpr relay_mode modes[] = {relay_mode::repeat, relay_mode::late,
+                                               relay_mode::stall};
+        auto const i = static_cast<unsigned>(link_random_() % fleet_.options().upstreams);
+        auto const mode = link_random_() % std::size(modes);
+        bool const restarts = link_random_() % 2 == 0;
+        print_action("disturb the answers of upstream " + std::to_string(i) + ", mode " +
+                     std::to_string(mode) + (restarts ? ", with a restart under its id" : ""));
+        auto const settle = disturb(fleet_.upstream(i).id());
+        fleet_.relay_of(i).set(modes[mode]);
+        if (restarts)
+            fleet_.restart_upstream(i);
+        schedule_undo(1500,
+                      [this, i, settle]
+                      {
+                          settle();
+                          fleet_.relay_of(i).set(relay_mode::pass);
+                      });
+    }
     void reset_links()
     {
         print_action("reset connections to upstreams");
@@ -273,6 +299,7 @@
     platform_fleet& fleet_;
     std::mt19937_64 random_;
     std::mt19937_64 statement_random_;
+    std::mt19937_64 link_random_;
     std::vector<pending_undo> pending_undos_;
     std::set<std::string> faulted_;
     std::vector<steady::time_point> disks_lost_;
--- a/test/fleet/relay.cpp
+++ b/test/fleet/relay.cpp
@@ -91,7 +91,9 @@
         relay_mode const mode = owner_.mode_;
         if (mode == relay_mode::one_way && from_target)
             return read_next(flow, from_target);
-        flow.timer.expires_after(mode == relay_mode::delay ? delay : std::chrono::milliseconds(0));
+        if (mode == relay_mode::repeat && from_target)
+            send_again(std::string(flow.chunk.data(), size));
+        flow.timer.expires_after(holding_time(mode, from_target));
         flow.timer.async_wait(
             [self = shared_from_this(), &flow, from_target, size](boost::system::error_code)
             {
@@ -106,6 +108,26 @@
             });
     }
 
+    static std::chrono::milliseconds holding_time(relay_mode mode, bool from_target)
+    {
+        if (mode == relay_mode::delay)
+            return delay;
+        return mode == relay_mode::late && !from_target ? hold : std::chrono::milliseconds(0);
+    }
+
+    /// Sends a second copy of the data to the caller later.
+    void send_again(std::string bytes)
+    {
+        auto const timer = std::make_shared<asio::steady_timer>(caller_.get_executor(), delay);
+        timer->async_wait(
+            [self = shared_from_this(), timer, bytes = std::move(bytes)](boost::system::error_code)
+            {
+                boost::system::error_code ignored;
+                if (self->caller_.is_open())
+                    asio::write(self->caller_, asio::buffer(bytes), ignored);
+            });
+    }
+
     relay& owner_;
     tcp::socket caller_;
     tcp::socket target_;
--- a/test/fleet/relay.hpp
+++ b/test/fleet/relay.hpp
@@ -25,7 +25,11 @@
     /// Connections open when the mode is set stop forwarding for good but stay open; new ones work.
     stall,
     /// Data from upstreams is dropped.
-    one_way
+    one_way,
+    /// Data from upstreams is forwarded, and once more after `delay`.
+    repeat,
+    /// Data to upstreams is forwarded after `hold`, also if the caller has closed meanwhile.
+    late
 };
 
 /// Thread safety: all methods are thread safe.
@@ -44,6 +48,7 @@
     void reset_open_on_send();
 
     static constexpr std::chrono::milliseconds delay{120};
+    static constexpr std::chrono::milliseconds hold{700};
 
 private:
     class link;
