Keep an upstream's home until it had time to quote the acceptance

Cause: a first acceptance gives no lease; the lease starts when the upstream quotes it, 50 ms later at best. The next tick, 5 ms later, found the lease ended, and the member was gone. Its second announcement was then placed anew, by the load on hosts at that time, and could be redirected to a host where the same happened. On an idle machine the second placement mostly agrees with the first; the log shows silent and gone there as well.

Evidence: the new section of upstream_pool_test failed before (no home after the first tick).

Why it works: a member is silent when it was due to renew, which is two seconds after its last announcement or the end of its lease, whichever is later. It still gets no work without a lease.

--- a/src/entry/upstream_pool.cpp
+++ b/src/entry/upstream_pool.cpp
@@ -19,6 +19,9 @@
 /// Answers after which an upstream in slow start gets one more slot.
 constexpr std::uint32_t answers_per_warm_slot = 3;
 constexpr std::uint32_t max_slots_per_upstream = 100'000;
+/// An upstream that has just been accepted quotes the acceptance, which starts its lease, within
+/// this time: an announcement that times out and its repetition, on a busy host.
+constexpr milliseconds first_renewal_window{2000};
 /// Duration of the first ejection; each further one lasts twice as long, up to the limit of
 /// doublings.
 constexpr milliseconds first_ejection_duration{1000};
@@ -90,6 +93,7 @@
     item->announced = announced;
     item->announced.slots = slot_count(std::min(announced.slots.value(), max_slots_per_upstream));
     item->lease_until = lease_until;
+    item->renewal_due = std::max(lease_until, now + first_renewal_window);
     apply_announcement(*item, now);
 }
 
@@ -265,7 +269,7 @@
             item.warm_slots = 1;
             apply_event(item, upstream_event::ejection_ended);
         }
-        if (now >= item.lease_until)
+        if (now >= item.renewal_due)
             apply_event(item, upstream_event::lease_ended);
         bool const finished = state == upstream_state::leaving || state == upstream_state::moved ||
                               state == upstream_state::silent;
--- a/src/entry/upstream_pool.hpp
+++ b/src/entry/upstream_pool.hpp
@@ -153,7 +153,8 @@
         std::uint64_t ejections = 0;
     };
     std::vector<row> rows() const;
-    /// Names of the upstreams whose home is this host and whose lease is valid. Unordered.
+    /// Names of the upstreams whose home is this host: they hold a lease, or have just announced
+    /// themselves to get one. Unordered.
     std::vector<upstream_name> renewing() const;
 
 private:
@@ -163,6 +164,9 @@
         upstream_announcement announced;
         chart_state<upstream_state, upstream_event> lifecycle;
         instant lease_until;
+        /// The upstream is silent from then on. Later than the end of the lease where the upstream
+        /// has just announced itself and holds no lease yet.
+        instant renewal_due;
         instant fence_until;
         instant ejected_until;
         std::uint32_t in_flight = 0;
--- a/test/correctness/upstream_pool_test.cpp
+++ b/test/correctness/upstream_pool_test.cpp
@@ -97,6 +97,29 @@
         pool.announce(at_ms(800), announced, at_ms(2800));
         CHECK(pick_all(pool, 801) == 1);
     }
+    GIVEN("an upstream that has been accepted and has not quoted the acceptance yet")
+    {
+        pool.announce(at_ms(0), announcement("u"), at_ms(0));
+        for (std::int64_t ms = 0; ms < 700; ms += 5)
+            pool.tick(at_ms(ms));
+        THEN("it keeps this home, without work")
+        {
+            CHECK(pool.renewing() == std::vector<upstream_name>{upstream_name("u")});
+            CHECK(pick_all(pool, 700) == 0);
+        }
+        AND_WHEN("it quotes the acceptance")
+        {
+            pool.announce(at_ms(700), announcement("u"), at_ms(2000));
+            CHECK(pick_all(pool, 701) == 1);
+        }
+        AND_WHEN("it stays silent")
+        {
+            for (std::int64_t ms = 700; ms < 2100; ms += 5)
+                pool.tick(at_ms(ms));
+            CHECK(pool.renewing().empty());
+            CHECK(pool.rows().empty());
+        }
+    }
     GIVEN("a delayed announcement of an older incarnation")
     {
         upstream_announcement announced = announcement("u");
