--- a/src/control/raft_replication.cpp
+++ b/src/control/raft_replication.cpp
@@ -156,8 +156,16 @@
 
 void raft::on_snapshot_message(instant now, raft_message const& message)
 {
+    raft_message reply =
+        message_to({message.from, message.from_disk, true}, raft_message_kind::append_reply);
+    reply.sent_ns = message.sent_ns;
+    // The reply tells the sender of the later term. A leader that sends this replica snapshots only
+    // would otherwise never learn of it.
     if (message.term < vote_.term)
+    {
+        pending_.messages.push_back(std::move(reply));
         return;
+    }
     if (message.term > vote_.term || role() != raft_role_state::follower)
         become_follower(now, message.term, message.from);
     leader_ = message.from;
@@ -174,11 +182,9 @@
         commit_to(snapshot.index);
     else if (snapshot.index > commit_)
         install(std::move(snapshot));
-    raft_message reply =
-        message_to({message.from, message.from_disk, true}, raft_message_kind::append_reply);
+    reply.term = vote_.term;
     reply.granted = true;
     reply.index = commit_;
-    reply.sent_ns = message.sent_ns;
     pending_.messages.push_back(std::move(reply));
 }
 
--- a/test/correctness/raft_test.cpp
+++ b/test/correctness/raft_test.cpp
@@ -231,6 +231,9 @@
     // In this schedule a delayed snapshot arrives after later entries were acknowledged; installing
     // it dropped those entries.
     random_schedule(3, 302'593, 6000, false);
+    // A replica raised its term, and the leader, which held nothing but a snapshot for it, never
+    // learned of that.
+    random_schedule(3, 201'325, 6000, false);
     rc::prop("three replicas, with lost messages, partitions and crashes",
              [](std::uint64_t seed) { random_schedule(3, seed, 6000, false); });
     rc::prop("five replicas, with lost disks as well",
