Drop the right to break a lease when a leadership transfer has failed

Found by the same schedules: two leaders held a lease at once, so that two control hosts could have answered reads of the configuration, one of them with an older version.

Cause: the replica that is to take over elects itself with requests that voters grant in spite of the leader's lease, since that leader has given it up. When this election failed, the flag stayed set, and the replica's later elections broke the lease of whoever led then.

Not covered: a request of such an election that is delivered after the old leader has taken its lease back, 1.2 s later, would be granted as well; no schedule has shown it.

--- a/src/control/raft_election.cpp
+++ b/src/control/raft_election.cpp
@@ -32,6 +32,8 @@
 {
     role_.fire(raft_role_event::election_due);
     leader_ = host_name();
+    // A transfer that failed gives no right to break the lease of a later leader.
+    force_election_ = false;
     votes_.clear();
     votes_[settings_.self] = true;
     reset_election(now);
--- a/test/correctness/raft_test.cpp
+++ b/test/correctness/raft_test.cpp
@@ -234,6 +234,9 @@
     // A replica raised its term, and the leader, which held nothing but a snapshot for it, never
     // learned of that.
     random_schedule(3, 201'325, 6000, false);
+    // Replicas whose leadership transfer had failed broke the lease of a later leader.
+    random_schedule(3, 1'468, 6000, false);
+    random_schedule(3, 19'973, 6000, false);
     rc::prop("three replicas, with lost messages, partitions and crashes",
              [](std::uint64_t seed) { random_schedule(3, seed, 6000, false); });
     rc::prop("five replicas, with lost disks as well",
