Keep a statement that an upstream made after its new start

Cause: answers don't name the incarnation, so a statement is filed under the one that the view holds. While control hosts are down, that may be the one before. When the view then learned of the new incarnation, the statement was dropped as one of its predecessor's.

The new section of upstream_statements_test drives that order of events; it can't compile against the code before, which has no time of a statement.

Why it works: a statement made at or after the birth of the new incarnation is kept for it, by the Unix times of both. Clocks that differ by more than the time between a last answer and the next start can keep a statement too long, which costs that upstream the requests of one host, or drop it.

--- a/src/fleet/gateway_calls.cpp
+++ b/src/fleet/gateway_calls.cpp
@@ -209,6 +209,8 @@
     report.took_ms = ms_between(item->sent_at, now);
     report.load = facts.load;
     report.cold_left_ms = facts.cold_left_ms;
+    if (outcome.response)
+        report.answered_ms = wall_ms(std::chrono::system_clock::now());
     report.is_leaving = facts.is_leaving;
     report.pause_ms = facts.pause_ms;
     if (!facts.unreadable_pause.empty())
--- a/src/routing/upstream_feedback.cpp
+++ b/src/routing/upstream_feedback.cpp
@@ -85,10 +85,12 @@
 {
     if (!outcome.is_leaving && !outcome.pause_ms)
         return;
-    if (outcome.is_leaving && !statements_.find(chosen.id, chosen.born_ms).is_leaving)
+    bool const is_new = !statements_.find(chosen.id, chosen.born_ms).is_leaving;
+    if (outcome.is_leaving)
+        statements_.note_leaving(chosen.id, chosen.born_ms, now, outcome.answered_ms);
+    if (outcome.is_leaving && is_new)
     {
         ++leaving_stated_;
-        statements_.note_leaving(chosen.id, chosen.born_ms, now);
         region_shares_.clear();
         log_change(log_level::info, "upstream_leaving",
                    "upstream=" + chosen.id.value() + " address=" + chosen.address.value() +
@@ -99,7 +101,7 @@
         ++pauses_stated_;
         instant const until = pause_end(now, milliseconds(*outcome.pause_ms),
                                         std::uniform_real_distribution<double>()(random_));
-        statements_.note_pause(chosen.id, chosen.born_ms, until, now);
+        statements_.note_pause(chosen.id, chosen.born_ms, until, now, outcome.answered_ms);
         log_change(log_level::info, "upstream_paused",
                    "upstream=" + chosen.id.value() + " address=" + chosen.address.value() +
                        " asked_ms=" + std::to_string(*outcome.pause_ms) +
--- a/src/routing/upstream_selector.cpp
+++ b/src/routing/upstream_selector.cpp
@@ -73,10 +73,10 @@
             upstream_state initial;
             initial.rates_at = now;
             initial.other_hosts_load_at = now;
+            statements_.note_registered(id, change.row.born_ms);
             initial.stated = statements_.find(id, change.row.born_ms);
             initial.resuming = now < initial.stated.paused_until;
             upstreams_[id] = initial;
-            statements_.note_registered(id, change.row.born_ms);
         }
         upstream_state& state = upstreams_[id];
         state.row = change.row;
--- a/src/routing/upstream_selector.hpp
+++ b/src/routing/upstream_selector.hpp
@@ -101,6 +101,8 @@
     std::optional<double> connect_ms;
     /// Time until the upstream's warm-up ends, as it reported.
     std::optional<std::uint32_t> cold_left_ms;
+    /// Unix time of the answer in milliseconds, on this host's clock; 0 if there is none.
+    std::int64_t answered_ms = 0;
     /// The upstream said that it leaves.
     bool is_leaving = false;
     /// With a refusal: how long the upstream wants no requests from this host, in milliseconds.
--- a/src/routing/upstream_statements.cpp
+++ b/src/routing/upstream_statements.cpp
@@ -26,7 +26,8 @@
 }
 
 upstream_statements::entry* upstream_statements::entry_of(upstream_name const& id,
-                                                          std::int64_t born_ms, instant now)
+                                                          std::int64_t born_ms, instant now,
+                                                          std::int64_t stated_ms)
 {
     auto const held = entries_.find(id);
     if (held == entries_.end() && entries_.size() >= max_statements)
@@ -39,19 +40,21 @@
     if (out.born_ms < born_ms)
         out = entry{born_ms};
     out.noted_at = now;
+    out.stated_ms = std::max(out.stated_ms, stated_ms);
     return &out;
 }
 
-void upstream_statements::note_leaving(upstream_name const& id, std::int64_t born_ms, instant now)
+void upstream_statements::note_leaving(upstream_name const& id, std::int64_t born_ms, instant now,
+                                       std::int64_t stated_ms)
 {
-    if (entry* const held = entry_of(id, born_ms, now))
+    if (entry* const held = entry_of(id, born_ms, now, stated_ms))
         held->statement.is_leaving = true;
 }
 
 void upstream_statements::note_pause(upstream_name const& id, std::int64_t born_ms, instant until,
-                                     instant now)
+                                     instant now, std::int64_t stated_ms)
 {
-    if (entry* const held = entry_of(id, born_ms, now))
+    if (entry* const held = entry_of(id, born_ms, now, stated_ms))
         held->statement.paused_until = std::max(held->statement.paused_until, until);
 }
 
@@ -68,10 +71,13 @@
     auto const at = entries_.find(id);
     if (at == entries_.end())
         return;
-    if (at->second.born_ms < born_ms)
+    if (at->second.born_ms < born_ms && at->second.stated_ms < born_ms)
+    {
         entries_.erase(at);
-    else
-        at->second.drop_at = instant::max();
+        return;
+    }
+    at->second.born_ms = std::max(at->second.born_ms, born_ms);
+    at->second.drop_at = instant::max();
 }
 
 void upstream_statements::note_removed(upstream_name const& id, std::int64_t born_ms, instant now)
--- a/src/routing/upstream_statements.hpp
+++ b/src/routing/upstream_statements.hpp
@@ -31,14 +31,19 @@
 class upstream_statements
 {
 public:
-    void note_leaving(upstream_name const& id, std::int64_t born_ms, instant now);
+    /// `stated_ms` is the Unix time of the answer, on this host's clock.
+    void note_leaving(upstream_name const& id, std::int64_t born_ms, instant now,
+                      std::int64_t stated_ms = 0);
     /// A pause never ends before one that the incarnation asked for earlier.
-    void note_pause(upstream_name const& id, std::int64_t born_ms, instant until, instant now);
+    void note_pause(upstream_name const& id, std::int64_t born_ms, instant until, instant now,
+                    std::int64_t stated_ms = 0);
 
     /// What the incarnation has said; nothing stated by default.
     upstream_statement find(upstream_name const& id, std::int64_t born_ms) const;
 
-    /// Reports that the view holds the incarnation; statements of earlier ones are dropped.
+    /// Reports that the view holds the incarnation. Statements of earlier ones are dropped, except
+    /// those made since it was born: answers don't name the incarnation, and the view learns of a
+    /// new one late.
     void note_registered(upstream_name const& id, std::int64_t born_ms);
     /// Reports that the view doesn't hold the incarnation, or no longer.
     void note_removed(upstream_name const& id, std::int64_t born_ms, instant now);
@@ -53,9 +58,12 @@
         std::int64_t born_ms = 0;
         upstream_statement statement = {};
         instant noted_at = {};
+        /// Unix time of the latest statement, in milliseconds.
+        std::int64_t stated_ms = 0;
         instant drop_at = instant::max();
     };
-    entry* entry_of(upstream_name const& id, std::int64_t born_ms, instant now);
+    entry* entry_of(upstream_name const& id, std::int64_t born_ms, instant now,
+                    std::int64_t stated_ms);
 
     std::map<upstream_name, entry> entries_;
 };
--- a/test/correctness/routing/upstream_statements_test.cpp
+++ b/test/correctness/routing/upstream_statements_test.cpp
@@ -93,6 +93,21 @@
             CHECK(pick_for(board, "block 7", 120000) == home.id.value());
         }
     }
+    THEN("a later incarnation gets none if it had been born when the statement was made")
+    {
+        attempt_report outcome = leaving(result);
+        outcome.answered_ms = same.born_ms + 5000 + GENERATE(0, 700);
+        board.report(home, "checks", outcome, at_ms(20));
+        same.born_ms += 5000;
+        board.apply(change(same, 2), at_ms(30));
+        CHECK(pick_for(board, "block 7", 40) == other);
+        AND_THEN("the one after that gets requests")
+        {
+            same.born_ms += 5000;
+            board.apply(change(same, 3), at_ms(50));
+            CHECK(pick_for(board, "block 7", 60) == home.id.value());
+        }
+    }
     THEN("requests are refused at once when all upstreams leave")
     {
         answer(board, "block 7", 20, leaving(result));
