Name the cause of a refusal during a planned stop

A host that stops said that no upstream can answer before it stops, also where the service had no usable upstream.

--- a/src/fleet/gateway_calls.cpp
+++ b/src/fleet/gateway_calls.cpp
@@ -112,12 +112,12 @@
     auto const chosen = board_.choose({*item->route, item->service, item->facts.object, item->tried,
                                        item->deadline, drain_.answer_by},
                                       now, refusal);
-    if (!chosen && is_leaving())
-        return answer_failure(item, false, "no upstream can answer before this host stops",
-                              leaving_retry_after_ms);
     if (!chosen)
     {
         bool const late = refusal.why == pick_failure::too_late;
+        if (late && is_leaving())
+            return answer_failure(item, false, "no upstream can answer before this host stops",
+                                  leaving_retry_after_ms);
         return answer_failure(
             item, false, late ? "no upstream can answer before the deadline" : "no usable upstream",
             refusal.expected_ms);
--- a/src/fleet/gateway_node.hpp
+++ b/src/fleet/gateway_node.hpp
@@ -211,8 +211,9 @@
     /// Spreads the returns of refused callers.
     std::minstd_rand random_{std::random_device{}()};
     instant const started_ = instant::clock::now();
-    /// In the future while no stop is requested.
+    /// All in the far future while no stop is requested.
     drain_schedule drain_;
+    /// The stop has reached `answer_by`; no attempt is repeated.
     bool is_cutting_short_ = false;
     /// Time of the last tick; a long gap means that the process was paused.
     instant last_tick_ = instant::clock::now();
