--- a/src/entry/upstream_pool.cpp
+++ b/src/entry/upstream_pool.cpp
@@ -112,7 +112,7 @@
                      [](member const& old) {
                          return old.lifecycle.state() == upstream_state::gone && old.in_flight == 0;
                      });
-    member fresh{announced, chart_state<upstream_state, upstream_event>(rules_), {}, {}, {}};
+    member fresh{announced, chart_state<upstream_state, upstream_event>(rules_), {}, {}, {}, {}};
     fresh.mean_us = mean_us_;
     fresh.fence_until = now + announced.previous_lease_left;
     if (reusable != members_.end())
