--- a/src/base/ids.hpp
+++ b/src/base/ids.hpp
@@ -16,6 +16,8 @@
 using service_name = strong_type<struct service_name_tag, std::string>;
 using work_kind_name = strong_type<struct work_kind_name_tag, std::string>;
 using upstream_name = strong_type<struct upstream_name_tag, std::string>;
+/// A customer that shares the deployment with others and is told apart by its keys.
+using workspace_name = strong_type<struct workspace_name_tag, std::string>;
 using caller_name = strong_type<struct caller_name_tag, std::string>;
 using idempotency_key = strong_type<struct idempotency_key_tag, std::string>;
 using operation_id = strong_type<struct operation_id_tag, std::string>;
