Add the order of a request's checks on an entry host

Requests will be checked for the lease of the keys, the key and the credit of the workspace between the match of a route and the link budget. authorize() holds these steps in this order; the lease is always usable and the credit step empty until their parts are merged, and no access configuration arrives yet, so that requests are served as before. access_table finds a workspace by the digest of a key.

--- a/src/fleet/call_protocol.hpp
+++ b/src/fleet/call_protocol.hpp
@@ -2,6 +2,7 @@
 /// Defines call_protocol, the HTTP mapping of callers' requests and upstreams' answers.
 #pragma once
 
+#include "access/access_config.hpp"
 #include "base/ids.hpp"
 #include "routing/attempt_policy.hpp"
 #include "routing/upstream_selector.hpp"
@@ -23,6 +24,9 @@
     /// Object that the request concerns, for placement.
     std::string object;
     std::string host;
+    /// Digest of the caller's key; empty unless the request has exactly one key, which is not
+    /// empty. The key itself is kept nowhere, so that it cannot get into a log.
+    std::optional<key_digest> key;
 };
 
 /// Metadata of an upstream's answer.
--- /dev/null
+++ b/src/fleet/gateway_access.cpp
@@ -0,0 +1,89 @@
+// Checks of a caller's request before it uses the link or an upstream: the lease of the keys, the
+// key, and the workspace's credit.
+#include "fleet/gateway_node.hpp"
+
+#include <algorithm>
+#include <iterator>
+#include <optional>
+
+namespace guavashed
+{
+namespace
+{
+
+constexpr unsigned status_unauthorized = 401;
+
+/// Regions that are on both lists, of which an empty one allows all; empty if there is none.
+std::optional<std::vector<region_name>> regions_on_both(std::vector<region_name> const& left,
+                                                        std::vector<region_name> const& right)
+{
+    if (left.empty())
+        return right;
+    if (right.empty())
+        return left;
+    std::vector<region_name> out;
+    std::copy_if(left.begin(), left.end(), std::back_inserter(out),
+                 [&right](region_name const& region)
+                 { return std::find(right.begin(), right.end(), region) != right.end(); });
+    if (out.empty())
+        return std::nullopt;
+    return out;
+}
+
+} // namespace
+
+bool gateway_node::keys_usable(instant) const
+{
+    return true;
+}
+
+bool gateway_node::authorize(call_ptr const& item)
+{
+    instant const now = instant::clock::now();
+    item->priority = item->route->priority;
+    item->regions = item->route->regions;
+    bool const needs_key = item->access != nullptr && item->access->requires_key() &&
+                           !item->access->is_public(item->route->name);
+    if (!needs_key)
+        return true;
+
+    // Lease: whether this host can tell which keys are valid.
+    if (!keys_usable(now))
+    {
+        refuse(item, "this host cannot check keys at the moment", 0);
+        return false;
+    }
+
+    // Key: identifies the workspace, whose priority and regions apply.
+    if (!identify(item))
+        return false;
+
+    // Credit: the limit of the workspace. Empty, no limit is in force.
+    return true;
+}
+
+bool gateway_node::identify(call_ptr const& item)
+{
+    workspace_config const* const workspace =
+        item->facts.key ? item->access->find(*item->facts.key) : nullptr;
+    if (workspace == nullptr)
+    {
+        ++counters_.unauthorized;
+        std::string const reason = item->facts.key ? "unknown key" : "no key";
+        answer(item, protocol_.local_response(status_unauthorized, item->facts.id, reason, 0),
+               "unauthorized", reason);
+        return false;
+    }
+    item->workspace = workspace;
+    item->priority = workspace->priority.value_or(item->route->priority);
+    auto regions = regions_on_both(item->route->regions, workspace->regions);
+    if (!regions)
+    {
+        refuse(item, "no region is allowed for both the route and the workspace", 0);
+        return false;
+    }
+    item->regions = std::move(*regions);
+    return true;
+}
+
+} // namespace guavashed
--- a/src/fleet/gateway_calls.cpp
+++ b/src/fleet/gateway_calls.cpp
@@ -52,6 +52,7 @@
     item->request = std::move(request);
     item->exchange = std::move(exchange);
     item->table = table_;
+    item->access = access_;
     item->exchange->when_abandoned([this, item] { on_abandoned(item); });
     route_call(item);
 }
@@ -81,10 +82,16 @@
     if (item->route == nullptr)
         return answer(item, protocol_.local_response(404, item->facts.id, "no route matches", 0),
                       "no_route", "host=" + item->facts.host);
-    item->service = item->table->next_service(*item->route);
     item->deadline =
         std::min(caller_deadline(*item), item->arrived + milliseconds(item->route->timeout_ms));
-    link_request const claim{item->route->name, item->route->priority, item->route->objective_ms,
+    if (authorize(item))
+        dispatch(item);
+}
+
+void gateway_node::dispatch(call_ptr const& item)
+{
+    item->service = item->table->next_service(*item->route);
+    link_request const claim{item->route->name, item->priority, item->route->objective_ms,
                              item->request.body.size()};
     if (!link_budget_.admit(claim, item->arrived))
     {
--- a/src/fleet/gateway_node.cpp
+++ b/src/fleet/gateway_node.cpp
@@ -181,6 +181,9 @@
     line("failed_total", counters_.failed);
     line("timed_out_total", counters_.timed_out);
     line("abandoned_total", counters_.abandoned);
+    line("unauthorized_total", counters_.unauthorized);
+    line("access_workspaces", access_ ? access_->workspaces() : 0);
+    line("access_keys", access_ ? access_->keys() : 0);
     line("attempts_total", counters_.attempts);
     line("second_attempts_total", counters_.second_attempts);
     line("connections_opened_total", client_.connections_opened());
--- a/src/fleet/gateway_node.hpp
+++ b/src/fleet/gateway_node.hpp
@@ -3,6 +3,7 @@
 /// upstreams.
 #pragma once
 
+#include "access/access_table.hpp"
 #include "base/ticker.hpp"
 #include "fleet/call_protocol.hpp"
 #include "fleet/drain_schedule.hpp"
@@ -61,6 +62,8 @@
     std::uint64_t bad_frames = 0;
     /// Attempts that count as not run, by `not_run_basis`.
     std::array<std::uint64_t, 3> not_run{};
+    /// Requests without a known key on routes that need one.
+    std::uint64_t unauthorized = 0;
     /// Requests that were unanswered at the end of a planned stop.
     std::uint64_t cut_short_by_stop = 0;
     /// Refusals of upstreams that don't prove that the request was not run.
@@ -102,6 +105,15 @@
         /// Keeps `route` valid while a newer configuration replaces the table.
         std::shared_ptr<route_table> table;
         route_config const* route = nullptr;
+        /// Keeps `workspace` valid while a newer access configuration replaces the table; null
+        /// before the first one.
+        std::shared_ptr<access_table const> access;
+        /// The workspace of the caller's key; null on routes that need none.
+        workspace_config const* workspace = nullptr;
+        /// Of the workspace where it has one, otherwise of the route.
+        std::uint32_t priority = 0;
+        /// Regions whose upstreams may serve the request; empty for all.
+        std::vector<region_name> regions;
         service_name service;
         instant arrived;
         instant deadline;
@@ -158,6 +170,16 @@
     std::size_t cut_short();
 
     void route_call(call_ptr const& item);
+    /// Checks the lease of the keys, the key and the workspace's credit, in this order. False if
+    /// the request was answered. Precondition: the route is set.
+    bool authorize(call_ptr const& item);
+    /// Whether this host knows which keys are valid at `now`.
+    bool keys_usable(instant now) const;
+    /// Sets the workspace of the request's key and what follows from it. False if the request was
+    /// answered.
+    bool identify(call_ptr const& item);
+    /// Sends the request, which passed all checks of its caller, as far as the link allows.
+    void dispatch(call_ptr const& item);
     void attempt(call_ptr const& item);
     void on_attempt_end(call_ptr const& item, http_outcome&& outcome);
     static attempt_end describe(call const& item, http_outcome const& outcome,
@@ -197,6 +219,8 @@
     upstream_selector board_;
     link_budget link_budget_;
     std::shared_ptr<route_table> table_;
+    /// Null while no access configuration was received: callers need no key.
+    std::shared_ptr<access_table const> access_;
     std::uint64_t view_index_ = 0;
     /// Control host from which this host receives its view; empty while there is none.
     endpoint_text source_;
