Read tenants, public routes and downloads from configurations

Configurations had no workspaces, and a route of type download was refused. The table tenants is now decoded into access_config beside the routing configuration, checked and patched by name; its keys are kept as digests only, and errors name a key by its position. A document with the table requires keys, also when the table is empty. A download is idempotent and may omit its timeout, since those of deployment B have none; 30 s apply then. The tests of access_table and of documents pass.

--- a/src/access/access_table.hpp
+++ b/src/access/access_table.hpp
@@ -29,6 +29,7 @@
 
     std::size_t keys() const { return keys_.size(); }
     std::size_t workspaces() const { return workspaces_.size(); }
+    std::size_t public_routes() const { return public_routes_.size(); }
 
 private:
     struct key_entry
--- a/src/fleet/registry_protocol.hpp
+++ b/src/fleet/registry_protocol.hpp
@@ -2,6 +2,7 @@
 /// Defines registry_protocol, the HTTP mapping of requests to a control host, and those requests.
 #pragma once
 
+#include "access/access_config.hpp"
 #include "fleet/register_command.hpp"
 #include "transport/http_message.hpp"
 
@@ -42,6 +43,7 @@
 struct decoded_config
 {
     routing_config config;
+    access_config access;
     std::string document;
 };
 
