Replicate access configurations and push them when they change

The register kept only the routing configuration. The register records the log index of the last change of access, so that a change of routes does not send thousands of keys to each entry host again. fleet_changes has version 2; entry hosts read version 1 as well and are therefore updated before control hosts.

--- a/src/fleet/fleet_register.cpp
+++ b/src/fleet/fleet_register.cpp
@@ -64,6 +64,11 @@
     config_ = command.config;
     document_ = command.document;
     config_changed_ = index;
+    if (access_ != command.access)
+    {
+        access_ = command.access;
+        access_changed_ = index;
+    }
     changed_ = index;
     accepted_hashes_.insert(command.request_hash);
     accepted_fifo_.push_back(command.request_hash);
--- a/src/fleet/fleet_register.hpp
+++ b/src/fleet/fleet_register.hpp
@@ -54,6 +54,9 @@
     routing_config const& config() const { return config_; }
     std::string const& document() const { return document_; }
     log_index config_changed() const { return config_changed_; }
+    access_config const& access() const { return access_; }
+    /// Log index of the last configuration that altered `access`; 0 if none has.
+    log_index access_changed() const { return access_changed_; }
     /// Log index of the last change that entry hosts need.
     log_index changed() const { return changed_; }
     std::map<upstream_name, registered_upstream> const& upstreams() const { return upstreams_; }
@@ -79,20 +82,23 @@
     std::string save() const;
     result<void> load(std::string const& bytes);
 
-    static constexpr std::uint16_t wire_version = 2;
+    static constexpr std::uint16_t wire_version = 3;
     static constexpr std::uint16_t oldest_wire_version = 1;
     template <class Archive>
     void serialize(Archive& archive)
     {
-        read_version(archive, oldest_wire_version);
-        archive(evacuation_changed_);
+        read_version(archive, wire_version);
     }
-    /// Version 1 had no `evacuation_changed_`.
+    /// Version 1 had no `evacuation_changed_`, and version 2 no access configuration.
     template <class Archive>
-    void read_version(Archive& archive, std::uint16_t)
+    void read_version(Archive& archive, std::uint16_t version)
     {
         archive(config_, document_, config_changed_, changed_, upstreams_, departures_, evacuated_,
                 accepted_hashes_, accepted_fifo_);
+        if (version >= 2)
+            archive(evacuation_changed_);
+        if (version >= 3)
+            archive(access_, access_changed_);
     }
 
 private:
@@ -109,6 +115,8 @@
     routing_config config_;
     std::string document_;
     log_index config_changed_;
+    access_config access_;
+    log_index access_changed_;
     log_index changed_;
     std::map<upstream_name, registered_upstream> upstreams_;
     std::map<upstream_name, departure> departures_;
--- a/src/fleet/register_command.hpp
+++ b/src/fleet/register_command.hpp
@@ -2,6 +2,7 @@
 /// Defines the commands of the fleet register and their outcomes.
 #pragma once
 
+#include "access/access_config.hpp"
 #include "control/raft_messages.hpp"
 #include "routing/route_config.hpp"
 #include "routing/upstream_row.hpp"
@@ -58,7 +59,7 @@
 
 struct register_command
 {
-    static constexpr std::uint16_t wire_version = 2;
+    static constexpr std::uint16_t wire_version = 3;
     static constexpr std::uint16_t oldest_wire_version = 1;
 
     /// `known_index` of commands that apply whatever changed before them.
@@ -84,19 +85,24 @@
     /// evacuate, restore and leave: log index that the accepting host had applied. A copy of the
     /// order that is committed after a later order on the same subject has no effect.
     log_index known_index = any_index;
+    /// configure: read from the same document as `config`.
+    access_config access;
 
     template <class Archive>
     void serialize(Archive& archive)
     {
-        read_version(archive, oldest_wire_version);
-        archive(known_index);
+        read_version(archive, wire_version);
     }
-    /// Version 1 had no `known_index`.
+    /// Version 1 had no `known_index`, and version 2 no `access`.
     template <class Archive>
-    void read_version(Archive& archive, std::uint16_t)
+    void read_version(Archive& archive, std::uint16_t version)
     {
         archive(kind, ticket, request_hash, base, config, document, upstream, sequence,
                 cold_left_ms, domain);
+        if (version >= 2)
+            archive(known_index);
+        if (version >= 3)
+            archive(access);
     }
 };
 
--- a/src/fleet/registry_entries.cpp
+++ b/src/fleet/registry_entries.cpp
@@ -93,6 +93,9 @@
     if (register_.config_changed().value() > index || out.whole)
         if (register_.version() != config_version())
             out.config = register_.config();
+    // A whole view goes to hosts that know nothing: without a change so far, no keys are required.
+    if (register_.access_changed().value() > index)
+        out.access = register_.access();
     for (auto const& [id, held] : register_.upstreams())
         if (held.changed.value() > index || out.whole)
             out.upstreams.push_back({held.row, register_.cold_left_ms(id, now), false});
--- a/src/fleet/registry_orders.cpp
+++ b/src/fleet/registry_orders.cpp
@@ -123,6 +123,7 @@
     command.request_hash = order.request_hash;
     command.base = order.base;
     command.config = std::move(decoded.value().config);
+    command.access = std::move(decoded.value().access);
     command.document = std::move(decoded.value().document);
     submit(std::move(command), subject, std::move(exchange), instant::clock::now() + answer_limit);
 }
--- a/src/fleet/view_messages.hpp
+++ b/src/fleet/view_messages.hpp
@@ -2,6 +2,7 @@
 /// Defines the messages between control hosts and entry hosts.
 #pragma once
 
+#include "access/access_config.hpp"
 #include "routing/route_config.hpp"
 #include "routing/upstream_row.hpp"
 
@@ -55,7 +56,9 @@
 /// Changes of the fleet since an entry host's view.
 struct fleet_changes
 {
-    static constexpr std::uint16_t wire_version = 1;
+    static constexpr std::uint16_t wire_version = 2;
+    /// Control hosts of an earlier version may be the source during an upgrade.
+    static constexpr std::uint16_t oldest_wire_version = 1;
 
     /// Log indexes: applies to views at `from` or later, which are at `to` afterwards.
     std::uint64_t from = 0;
@@ -70,11 +73,22 @@
     std::vector<std::uint64_t> entries;
     /// Endpoints of all control hosts; empty when the list is not sent.
     std::vector<endpoint_text> controls;
+    /// Only when it changed since `from`: most changes leave it as it is, and with thousands of
+    /// keys it is long.
+    std::optional<access_config> access;
 
     template <class Archive>
     void serialize(Archive& archive)
+    {
+        read_version(archive, wire_version);
+    }
+    /// Version 1 had no `access`.
+    template <class Archive>
+    void read_version(Archive& archive, std::uint16_t version)
     {
         archive(from, to, whole, config, upstreams, evacuated, entries, controls);
+        if (version >= 2)
+            archive(access);
     }
 };
 
