Compute the shares of regions from the allowed regions

The home of an object could lie in a region that the route does not allow: shares of regions were computed from all regions, whatever the route's list said. Such an object had no home, and its requests were spread over all upstreams of the allowed regions. Shares now come from the allowed regions, cached by service and regions. pick_request can name regions in place of the route's, for workspaces with regions of their own.

--- a/src/routing/upstream_selector.cpp
+++ b/src/routing/upstream_selector.cpp
@@ -35,6 +35,11 @@
 /// not have the object cached takes longer than predicted, and the request would be cut off.
 constexpr double stop_margin = 2;
 
+bool is_allowed(region_name const& region, std::vector<region_name> const& allowed)
+{
+    return allowed.empty() || std::find(allowed.begin(), allowed.end(), region) != allowed.end();
+}
+
 } // namespace
 
 upstream_selector::upstream_selector(selector_settings settings, std::uint64_t seed)
@@ -138,9 +143,7 @@
         return false;
     if (evacuated_.contains(state.row.domain) || request.tried.contains(state.row.id))
         return false;
-    auto const& regions = request.route.regions;
-    if (!regions.empty() &&
-        std::find(regions.begin(), regions.end(), state.region) == regions.end())
+    if (!is_allowed(state.region, request.allowed_regions()))
         return false;
     if (!ejected_too && now < state.ejected_until)
         return false;
@@ -173,9 +176,11 @@
     return time;
 }
 
-std::vector<region_share> const& upstream_selector::region_shares_of(service_name const& service)
+std::vector<region_share> const&
+upstream_selector::region_shares_of(service_name const& service,
+                                    std::vector<region_name> const& allowed)
 {
-    auto const known = region_shares_.find(service);
+    auto const known = region_shares_.find({service, allowed});
     if (known != region_shares_.end())
         return known->second;
     std::map<region_name, double> slots;
@@ -184,13 +189,13 @@
         regions.insert(region);
     for (auto const& [id, state] : upstreams_)
         if (state.row.service == service && !state.is_leaving() &&
-            !evacuated_.contains(state.row.domain))
+            !evacuated_.contains(state.row.domain) && is_allowed(state.region, allowed))
             slots[state.region] += state.row.slots;
     std::vector<region_capacity> capacities;
     capacities.reserve(slots.size());
     for (auto const& [region, count] : slots)
         capacities.push_back({region, count});
-    return region_shares_[service] =
+    return region_shares_[{service, allowed}] =
                spread_over_regions(settings_.region, capacities, regions.size());
 }
 
@@ -301,7 +306,7 @@
     }
     bool const keyed = request.route.affinity && !request.object.empty();
     std::uint64_t const object = keyed ? object_hash(request.service, request.object) : random_();
-    rank(found, object, region_shares_of(request.service));
+    rank(found, object, region_shares_of(request.service, request.allowed_regions()));
     // An upstream that does not have the object cached takes several times as long. Under load that
     // costs more slots than queueing at the object's two ranked upstreams.
     bool const has_home = std::any_of(found.begin(), found.end(),
--- a/src/routing/upstream_selector.hpp
+++ b/src/routing/upstream_selector.hpp
@@ -56,6 +56,14 @@
     instant deadline;
     /// When this host stops waiting for answers, whatever the deadline.
     instant host_stops_at = instant::max();
+    /// Regions whose upstreams may serve the request, where these aren't those of the route; empty
+    /// for all.
+    std::vector<region_name> const* regions = nullptr;
+
+    std::vector<region_name> const& allowed_regions() const
+    {
+        return regions != nullptr ? *regions : route.regions;
+    }
 };
 
 /// The upstream picked, and the estimates behind the decision.
@@ -222,9 +230,10 @@
     /// Estimated round trip to the upstream.
     double round_trip_ms(upstream_state const& state) const;
     service_time& service_time_of(route_config const& route);
-    /// Shares of the regions in this region's requests of the service; cached until the view
-    /// changes.
-    std::vector<region_share> const& region_shares_of(service_name const& service);
+    /// Shares of the regions in this region's requests of the service that only `allowed` regions
+    /// may serve, or all if there are none listed; cached until the view changes.
+    std::vector<region_share> const& region_shares_of(service_name const& service,
+                                                      std::vector<region_name> const& allowed);
     void learn_time(upstream_state& state, pick const& chosen, std::string const& route,
                     double took_ms, instant now);
     void eject(upstream_state& state, instant now);
@@ -244,7 +253,9 @@
     std::unordered_map<service_name, routed_service> services_;
     /// Service times by route.
     std::unordered_map<std::string, service_time> service_times_;
-    std::unordered_map<service_name, std::vector<region_share>> region_shares_;
+    /// By service and allowed regions.
+    std::map<std::pair<service_name, std::vector<region_name>>, std::vector<region_share>>
+        region_shares_;
     /// Token bucket of each service for requests that load moves to another region.
     std::unordered_map<service_name, double> spill_tokens_;
     /// Moving average of the time to establish a connection, which takes one round trip.
--- a/test/correctness/routing/upstream_selector_test.cpp
+++ b/test/correctness/routing/upstream_selector_test.cpp
@@ -273,3 +273,36 @@
         }
     }
 }
+
+// Guards against an object whose home lies in a region that may not serve it: it would have no home
+// at all, and run on a different upstream each time.
+TEST_CASE("objects of a restricted request have their homes in the allowed regions")
+{
+    fleet_changes view = whole_view(4);
+    for (int i = 0; i < 8; ++i)
+        view.upstreams.push_back({roster_upstream("s" + std::to_string(i), "south-a"), 0, false});
+    upstream_selector board = board_of(view);
+    route_config route = roster_route();
+    std::vector<region_name> allowed{region_name(GENERATE("north", "south"))};
+    SECTION("by the route")
+    {
+        route.regions = allowed;
+    }
+    SECTION("by the request, in place of the regions of the route")
+    {
+        route.regions = {region_name("elsewhere")};
+    }
+    std::set<upstream_name> const none;
+    for (int i = 0; i < 40; ++i)
+    {
+        pick_refusal refusal;
+        auto const chosen = board.choose({route, route.parts[0].service, std::to_string(i), none,
+                                          at_ms(i * 200 + 1000), instant::max(),
+                                          route.regions == allowed ? nullptr : &allowed},
+                                         at_ms(i * 200), refusal);
+        REQUIRE(chosen);
+        CHECK(chosen->place == 0);
+        CHECK(chosen->id.value()[0] == (allowed[0] == region_name("north") ? 'u' : 's'));
+        report(board, chosen->id.value(), attempt_result::answered, i * 200 + 100);
+    }
+}
