Check the keys of callers on entry hosts

Requests were served whoever sent them, and the fields Api-Key and X-Guavashed-Tenant of callers reached upstreams. Entry hosts now adopt the access configuration of their view and, where it requires keys, answer 401 without exactly one known key on routes that are not public. Where access is in force, both fields are removed on all routes, and the name of the workspace is set after its key was checked. After a pause of the process, routes that need keys are answered with 503, since the list of keys may be stale. Without an access configuration, requests are forwarded as before.

--- a/src/fleet/call_protocol.hpp
+++ b/src/fleet/call_protocol.hpp
@@ -29,6 +29,15 @@
     std::optional<key_digest> key;
 };
 
+/// What an upstream is told of a request's caller.
+struct caller_identity
+{
+    /// Keys are required by the configuration, so that only this host states the workspace.
+    bool is_checked = false;
+    /// Null where no key was checked, as on a public route.
+    workspace_name const* workspace = nullptr;
+};
+
 /// Metadata of an upstream's answer.
 struct response_metadata
 {
@@ -56,9 +65,10 @@
     virtual ~call_protocol() = default;
 
     virtual request_metadata read_call(http_request const& request) const = 0;
-    /// The request as sent to the upstream, which runs it only if it is the named target.
+    /// The request as sent to the upstream, which runs it only if it is the named target. With a
+    /// checked identity, it has neither the caller's key nor a workspace that the caller stated.
     virtual http_request forward(http_request const& request, upstream_name const& target,
-                                 std::uint32_t left_ms) const = 0;
+                                 std::uint32_t left_ms, caller_identity const& caller) const = 0;
     virtual response_metadata read_answer(http_response const& answer) const = 0;
     /// The upstream's answer as sent to the caller.
     virtual http_response relay(http_response answer) const = 0;
--- a/src/fleet/gateway_access.cpp
+++ b/src/fleet/gateway_access.cpp
@@ -1,5 +1,6 @@
 // Checks of a caller's request before it uses the link or an upstream: the lease of the keys, the
 // key, and the workspace's credit.
+#include "base/log.hpp"
 #include "fleet/gateway_node.hpp"
 
 #include <algorithm>
@@ -32,6 +33,31 @@
 
 } // namespace
 
+void gateway_node::adopt_access(access_config config)
+{
+    // Requests that have passed the checks keep the table that they were checked with.
+    access_ = std::make_shared<access_table const>(std::move(config));
+    log_change(log_level::info, "access",
+               std::string("keys_required=") + (access_->requires_key() ? "1" : "0") +
+                   " workspaces=" + std::to_string(access_->workspaces()) +
+                   " keys=" + std::to_string(access_->keys()) +
+                   " public_routes=" + std::to_string(access_->public_routes()));
+}
+
+caller_identity gateway_node::identity_of(call const& item)
+{
+    caller_identity out;
+    out.is_checked = item.access != nullptr && item.access->requires_key();
+    if (item.workspace != nullptr)
+        out.workspace = &item.workspace->name;
+    return out;
+}
+
+std::string gateway_node::workspace_text(call const& item)
+{
+    return item.workspace == nullptr ? std::string() : " workspace=" + item.workspace->name.value();
+}
+
 bool gateway_node::keys_usable(instant) const
 {
     return true;
@@ -48,6 +74,12 @@
         return true;
 
     // Lease: whether this host can tell which keys are valid.
+    if (detect_pause(now))
+    {
+        refuse(item, "this host was paused and its list of keys may be stale",
+               remaining_ms(view_unverified_until_, now));
+        return false;
+    }
     if (!keys_usable(now))
     {
         refuse(item, "this host cannot check keys at the moment", 0);
@@ -69,7 +101,7 @@
     if (workspace == nullptr)
     {
         ++counters_.unauthorized;
-        std::string const reason = item->facts.key ? "unknown key" : "no key";
+        std::string const reason = item->facts.key ? "unknown key" : "no key, or more than one";
         answer(item, protocol_.local_response(status_unauthorized, item->facts.id, reason, 0),
                "unauthorized", reason);
         return false;
--- a/src/fleet/gateway_calls.cpp
+++ b/src/fleet/gateway_calls.cpp
@@ -117,7 +117,7 @@
                               ms_between(now, view_unverified_until_));
     pick_refusal refusal;
     auto const chosen = board_.choose({*item->route, item->service, item->facts.object, item->tried,
-                                       item->deadline, drain_.answer_by},
+                                       item->deadline, drain_.answer_by, &item->regions},
                                       now, refusal);
     if (!chosen)
     {
@@ -137,7 +137,8 @@
     ++counters_.attempts;
     http_call order;
     order.endpoint = chosen->address;
-    order.request = protocol_.forward(item->request, chosen->id, remaining_ms(item->deadline, now));
+    order.request = protocol_.forward(item->request, chosen->id, remaining_ms(item->deadline, now),
+                                      identity_of(*item));
     order.deadline = item->deadline;
     order.send_by = item->deadline;
     order.connect_by = now + connect_timeout;
@@ -236,7 +237,7 @@
 {
     bool const is_doubted = is_unproven_refusal(end);
     std::string line = "id=" + item.facts.id + " upstream=" + item.chosen.id.value() +
-                       " born_ms=" + std::to_string(item.chosen.born_ms);
+                       " born_ms=" + std::to_string(item.chosen.born_ms) + workspace_text(item);
     if (is_doubted)
         ++counters_.doubted_refusals;
     else
@@ -283,7 +284,8 @@
     ++counters_.abandoned;
     log_request("request", "id=" + item->facts.id + " outcome=abandoned took_ms=" +
                                integer_text(ms_between(item->arrived, instant::clock::now())) +
-                               " attempts=" + std::to_string(item->attempts));
+                               " attempts=" + std::to_string(item->attempts) +
+                               workspace_text(*item));
     if (item->running != 0)
         client_.cancel(item->running);
 }
@@ -337,6 +339,7 @@
                 " view=" + std::to_string(view_index_) +
                 " attempts=" + std::to_string(item->attempts) +
                 " left_ms=" + std::to_string(remaining_ms(item->deadline, instant::clock::now()));
+    line += workspace_text(*item);
     if (!item->tried.empty())
         line += " upstream=" + item->chosen.id.value() +
                 " place=" + std::to_string(item->chosen.place) +
--- a/src/fleet/gateway_node.cpp
+++ b/src/fleet/gateway_node.cpp
@@ -116,6 +116,8 @@
         note_newer_view(session, instant::clock::now());
     board_.apply(changes, instant::clock::now());
     update_control_links(changes.controls);
+    if (changes.access)
+        adopt_access(std::move(*changes.access));
     if (changes.config)
         adopt_config(std::move(*changes.config));
     view_index_ = changes.to;
--- a/src/fleet/gateway_node.hpp
+++ b/src/fleet/gateway_node.hpp
@@ -159,6 +159,7 @@
     bool detect_pause(instant now);
     void on_changes(fleet_changes changes, frame_session const& session);
     void adopt_config(routing_config config);
+    void adopt_access(access_config config);
     void update_control_links(std::vector<endpoint_text> const& controls);
     bool is_leaving() const { return drain_.end_by != instant::max(); }
     bool is_ready() const { return table_ != nullptr && !is_leaving(); }
@@ -178,6 +179,10 @@
     /// Sets the workspace of the request's key and what follows from it. False if the request was
     /// answered.
     bool identify(call_ptr const& item);
+    /// What the upstream is told of the request's caller.
+    static caller_identity identity_of(call const& item);
+    /// What log lines of the request say of its workspace; empty if it has none.
+    static std::string workspace_text(call const& item);
     /// Sends the request, which passed all checks of its caller, as far as the link allows.
     void dispatch(call_ptr const& item);
     void attempt(call_ptr const& item);
--- a/test/correctness/platform/wire_calls_test.cpp
+++ b/test/correctness/platform/wire_calls_test.cpp
@@ -59,7 +59,7 @@
 TEST_CASE("a request is forwarded unchanged except for hop-by-hop fields, deadline and target")
 {
     wire_calls const wire;
-    http_request const out = wire.forward(confirm_request(), upstream_name("i-7f"), 1200);
+    http_request const out = wire.forward(confirm_request(), upstream_name("i-7f"), 1200, {});
     CHECK(out.method == "POST");
     CHECK(out.target == "/pufi791/2f?x=%20y");
     CHECK(out.body == "crew=7");
