--- a/standin/platform_upstream.cpp
+++ b/standin/platform_upstream.cpp
@@ -1,6 +1,7 @@
 // Announcements, the queue and the simulated execution of platform_upstream.
 #include "platform_upstream.hpp"
 
+#include <boost/algorithm/string/predicate.hpp>
 #include <future>
 
 namespace standin
@@ -20,6 +21,16 @@
     return {503, {{"X-Guavashed-Request-Id", id}, {"X-Guavashed-Not-Executed", "1"}}, ""};
 }
 
+std::vector<std::string> access_fields_of(http_request const& request)
+{
+    std::vector<std::string> out;
+    for (auto const& field : request.fields)
+        if (boost::algorithm::iequals(field.name, "Api-Key") ||
+            boost::algorithm::iequals(field.name, "X-Guavashed-Tenant"))
+            out.push_back(field.name + ": " + field.value);
+    return out;
+}
+
 milliseconds time_left(http_request const& request)
 {
     std::string const value(request.field("X-Guavashed-Request-Deadline"));
@@ -170,7 +181,7 @@
         return false;
     {
         std::lock_guard const guard(mutex_);
-        record_.arrivals.push_back({id, now, false, states_leaving_, paused_until_});
+        record_.arrivals.push_back({id, now, false, states_leaving_, paused_until_, {}});
     }
     double const seconds = std::chrono::duration<double>(paused_until_ - now).count();
     exchange.respond(with_statements({503,
@@ -202,7 +213,8 @@
     {
         std::lock_guard const guard(mutex_);
         item->arrival = record_.arrivals.size();
-        record_.arrivals.push_back({id, instant::clock::now(), false, states_leaving_, {}});
+        record_.arrivals.push_back(
+            {id, instant::clock::now(), false, states_leaving_, {}, access_fields_of(request)});
     }
     if (full)
         return item->exchange->respond(with_statements(refusal(id)));
--- a/standin/platform_upstream.hpp
+++ b/standin/platform_upstream.hpp
@@ -61,6 +61,8 @@
         bool stated_leaving = false;
         /// End of the pause that the rejection asked for.
         std::optional<guavashed::instant> paused_until;
+        /// The fields of the request that concern the caller's access, as "name: value".
+        std::vector<std::string> access_fields;
     };
     std::string upstream;
     std::vector<arrival> arrivals;
--- a/test/fleet/platform_fleet.cpp
+++ b/test/fleet/platform_fleet.cpp
@@ -262,6 +262,16 @@
     return outcome.response->status;
 }
 
+unsigned platform_fleet::request_entry(unsigned entry, http_request request)
+{
+    http_call order;
+    order.endpoint = entry_endpoint(entry);
+    order.request = std::move(request);
+    order.fresh_connection = true;
+    auto const outcome = call(std::move(order));
+    return outcome.response ? outcome.response->status : 0;
+}
+
 std::string platform_fleet::document(std::uint64_t version) const
 {
     auto const route = [this](char const* prefix, char const* kind)
--- a/test/fleet/platform_fleet.hpp
+++ b/test/fleet/platform_fleet.hpp
@@ -72,6 +72,9 @@
     /// Sends a request to a control host and returns the HTTP status, or 0 without a response.
     unsigned request_control(unsigned control, std::string const& method, std::string const& target,
                              std::string const& body = {}, std::string* answer = nullptr);
+    /// Sends a caller's request to an entry host and returns the HTTP status, or 0 without a
+    /// response.
+    unsigned request_entry(unsigned entry, guavashed::http_request request);
     /// Submits a new configuration version to the control hosts in turn until one accepts it.
     /// Returns false when none does so within `limit_s`.
     bool configure(std::uint64_t version, double limit_s = 10);
