--- a/src/fleet/gateway_calls.cpp
+++ b/src/fleet/gateway_calls.cpp
@@ -52,6 +52,7 @@
     item->request = std::move(request);
     item->exchange = std::move(exchange);
     item->table = table_;
+    item->access = access_;
     item->exchange->when_abandoned([this, item] { on_abandoned(item); });
     route_call(item);
 }
@@ -81,10 +82,16 @@
     if (item->route == nullptr)
         return answer(item, protocol_.local_response(404, item->facts.id, "no route matches", 0),
                       "no_route", "host=" + item->facts.host);
-    item->service = item->table->next_service(*item->route);
     item->deadline =
         std::min(caller_deadline(*item), item->arrived + milliseconds(item->route->timeout_ms));
-    link_request const claim{item->route->name, item->route->priority, item->route->objective_ms,
+    if (authorize(item))
+        dispatch(item);
+}
+
+void gateway_node::dispatch(call_ptr const& item)
+{
+    item->service = item->table->next_service(*item->route);
+    link_request const claim{item->route->name, item->priority, item->route->objective_ms,
                              item->request.body.size()};
     if (!link_budget_.admit(claim, item->arrived))
     {
@@ -110,7 +117,7 @@
                               ms_between(now, view_unverified_until_));
     pick_refusal refusal;
     auto const chosen = board_.choose({*item->route, item->service, item->facts.object, item->tried,
-                                       item->deadline, drain_.answer_by},
+                                       item->deadline, drain_.answer_by, &item->regions},
                                       now, refusal);
     if (!chosen)
     {
@@ -130,7 +137,8 @@
     ++counters_.attempts;
     http_call order;
     order.endpoint = chosen->address;
-    order.request = protocol_.forward(item->request, chosen->id, remaining_ms(item->deadline, now));
+    order.request = protocol_.forward(item->request, chosen->id, remaining_ms(item->deadline, now),
+                                      identity_of(*item));
     order.deadline = item->deadline;
     order.send_by = item->deadline;
     order.connect_by = now + connect_timeout;
@@ -229,7 +237,7 @@
 {
     bool const is_doubted = is_unproven_refusal(end);
     std::string line = "id=" + item.facts.id + " upstream=" + item.chosen.id.value() +
-                       " born_ms=" + std::to_string(item.chosen.born_ms);
+                       " born_ms=" + std::to_string(item.chosen.born_ms) + workspace_text(item);
     if (is_doubted)
         ++counters_.doubted_refusals;
     else
@@ -276,7 +284,8 @@
     ++counters_.abandoned;
     log_request("request", "id=" + item->facts.id + " outcome=abandoned took_ms=" +
                                integer_text(ms_between(item->arrived, instant::clock::now())) +
-                               " attempts=" + std::to_string(item->attempts));
+                               " attempts=" + std::to_string(item->attempts) +
+                               workspace_text(*item));
     if (item->running != 0)
         client_.cancel(item->running);
 }
@@ -330,6 +339,7 @@
                 " view=" + std::to_string(view_index_) +
                 " attempts=" + std::to_string(item->attempts) +
                 " left_ms=" + std::to_string(remaining_ms(item->deadline, instant::clock::now()));
+    line += workspace_text(*item);
     if (!item->tried.empty())
         line += " upstream=" + item->chosen.id.value() +
                 " place=" + std::to_string(item->chosen.place) +
--- a/src/fleet/gateway_node.cpp
+++ b/src/fleet/gateway_node.cpp
@@ -116,6 +116,8 @@
         note_newer_view(session, instant::clock::now());
     board_.apply(changes, instant::clock::now());
     update_control_links(changes.controls);
+    if (changes.access)
+        adopt_access(std::move(*changes.access));
     if (changes.config)
         adopt_config(std::move(*changes.config));
     view_index_ = changes.to;
@@ -181,6 +183,9 @@
     line("failed_total", counters_.failed);
     line("timed_out_total", counters_.timed_out);
     line("abandoned_total", counters_.abandoned);
+    line("unauthorized_total", counters_.unauthorized);
+    line("access_workspaces", access_ ? access_->workspaces() : 0);
+    line("access_keys", access_ ? access_->keys() : 0);
     line("attempts_total", counters_.attempts);
     line("second_attempts_total", counters_.second_attempts);
     line("connections_opened_total", client_.connections_opened());
