Keep objects at their upstreams when the fleet or eligibility changes

The region of an object was a section of the unit interval, cut in the order of names, so one changed share moved all boundaries. The home was the best of the upstreams that were eligible at the moment, so each ejection, pause or warm-up gave its objects another home, and the time to load them counted as service time at home.

The home is now the highest weighted rendezvous score over all upstreams that are neither leaving, replaced nor evacuated, with an upstream's part of its region's share as weight. While the home is ineligible, the second choice in its region is used with place 1, then the next in rank order. Shares of regions follow the view at 0.06 of the requests per second, at once where upstreams fail; spill is suspended meanwhile, so that both together stay below max_region_shift.

--- a/src/routing/placement.cpp
+++ b/src/routing/placement.cpp
@@ -1,4 +1,5 @@
-// Spreads requests over regions by capacity, and objects over upstreams by rendezvous hashing.
+// Spreads requests over regions by capacity, and objects over regions and upstreams by weighted
+// rendezvous hashing.
 #include "routing/placement.hpp"
 
 #include <algorithm>
@@ -16,6 +17,13 @@
     return (static_cast<double>(hash >> 11) + 0.5) * 0x1.0p-53;
 }
 
+/// Score in weighted rendezvous hashing: each name has the highest one with a probability in
+/// proportion to its weight.
+double rendezvous_score(std::uint64_t seed, std::string_view name, double weight)
+{
+    return -weight / std::log(unit_interval(XXH3_64bits_withSeed(name.data(), name.size(), seed)));
+}
+
 } // namespace
 
 std::vector<region_share> spread_over_regions(region_name const& own,
@@ -71,24 +79,28 @@
 
 region_name const& region_of(std::uint64_t object, std::vector<region_share> const& shares)
 {
-    double total = 0;
-    for (auto const& item : shares)
-        total += item.share;
-    double remaining = unit_interval(XXH3_64bits(&object, sizeof object)) * total;
+    // A hash of the object's hash, so that the choice of the region is independent of the scores
+    // of upstreams.
+    std::uint64_t const seed = XXH3_64bits(&object, sizeof object);
+    region_share const* best = &shares.front();
+    double highest = 0;
     for (auto const& item : shares)
     {
-        remaining -= item.share;
-        if (remaining < 0)
-            return item.region;
+        if (item.share <= 0)
+            continue;
+        double const score = rendezvous_score(seed, item.region.value(), item.share);
+        if (score > highest)
+        {
+            highest = score;
+            best = &item;
+        }
     }
-    return shares.back().region;
+    return best->region;
 }
 
 double home_score(std::uint64_t object, upstream_name const& upstream, double weight)
 {
-    std::uint64_t const hash =
-        XXH3_64bits_withSeed(upstream.value().data(), upstream.value().size(), object);
-    return -weight / std::log(unit_interval(hash));
+    return rendezvous_score(object, upstream.value(), weight);
 }
 
 std::uint64_t entry_hash(host_name const& host)
--- a/src/routing/placement.hpp
+++ b/src/routing/placement.hpp
@@ -36,8 +36,9 @@
 /// Hash of the object `key` of a service. Thread safe.
 std::uint64_t object_hash(service_name const& service, std::string_view key);
 
-/// Region that serves an object; does not change while `shares` do not. Precondition: `shares` is
-/// not empty. Thread safe.
+/// Region that serves an object if the region is chosen first, by weighted rendezvous hashing: when
+/// shares change, few more objects change their region than the shares require. Precondition:
+/// `shares` is not empty. Thread safe.
 region_name const& region_of(std::uint64_t object, std::vector<region_share> const& shares);
 
 /// Score of an upstream for an object by weighted rendezvous hashing; the upstream with the highest
--- a/src/routing/upstream_feedback.cpp
+++ b/src/routing/upstream_feedback.cpp
@@ -91,7 +91,6 @@
     if (outcome.is_leaving && is_new)
     {
         ++leaving_stated_;
-        region_shares_.clear();
         log_change(log_level::info, "upstream_leaving",
                    "upstream=" + chosen.id.value() + " address=" + chosen.address.value() +
                        " born_ms=" + std::to_string(chosen.born_ms) + " source=answer");
@@ -110,7 +109,11 @@
             state->resuming = true;
     }
     if (state != nullptr)
+    {
         state->stated = statements_.find(chosen.id, chosen.born_ms);
+        if (is_new && outcome.is_leaving)
+            update_region_shares(now);
+    }
     else
         statements_.note_removed(chosen.id, chosen.born_ms, now);
 }
--- a/src/routing/upstream_selector.cpp
+++ b/src/routing/upstream_selector.cpp
@@ -61,6 +61,7 @@
         {
             if (existing != upstreams_.end() && existing->second.row.born_ms <= change.row.born_ms)
             {
+                note_failed(existing->second);
                 statements_.note_removed(id, change.row.born_ms, now);
                 upstreams_.erase(existing);
             }
@@ -90,18 +91,25 @@
                       [&](auto const& item)
                       {
                           bool const is_removed = !listed.contains(item.first);
-                          if (is_removed)
-                              statements_.note_removed(item.first, item.second.row.born_ms, now);
-                          return is_removed;
+                          if (!is_removed)
+                              return false;
+                          note_failed(item.second);
+                          statements_.note_removed(item.first, item.second.row.born_ms, now);
+                          return true;
                       });
     statements_.trim(now);
     evacuated_ = {changes.evacuated.begin(), changes.evacuated.end()};
     if (!changes.entries.empty())
         entry_hashes_ = changes.entries;
-    region_shares_.clear();
     by_service_.clear();
+    homes_.clear();
     for (auto& [id, state] : upstreams_)
+    {
         by_service_[state.row.service].push_back(&state);
+        if (!evacuated_.contains(state.row.domain))
+            homes_[state.row.service][state.region].push_back(&state);
+    }
+    update_region_shares(now);
 }
 
 bool upstream_selector::may_send_while_cold(upstream_state const& state) const
@@ -173,52 +181,6 @@
     return time;
 }
 
-std::vector<region_share> const& upstream_selector::region_shares_of(service_name const& service)
-{
-    auto const known = region_shares_.find(service);
-    if (known != region_shares_.end())
-        return known->second;
-    std::map<region_name, double> slots;
-    std::set<region_name> regions;
-    for (auto const& [domain, region] : settings_.regions)
-        regions.insert(region);
-    for (auto const& [id, state] : upstreams_)
-        if (state.row.service == service && !state.is_leaving() &&
-            !evacuated_.contains(state.row.domain))
-            slots[state.region] += state.row.slots;
-    std::vector<region_capacity> capacities;
-    capacities.reserve(slots.size());
-    for (auto const& [region, count] : slots)
-        capacities.push_back({region, count});
-    return region_shares_[service] =
-               spread_over_regions(settings_.region, capacities, regions.size());
-}
-
-void upstream_selector::rank(std::vector<candidate>& found, std::uint64_t object,
-                             std::vector<region_share> const& shares) const
-{
-    region_name const& region = shares.empty() ? settings_.region : region_of(object, shares);
-    candidate* first = nullptr;
-    candidate* second = nullptr;
-    for (auto& item : found)
-    {
-        item.score = home_score(object, item.state->row.id, item.state->row.slots);
-        if (item.state->region != region)
-            continue;
-        if (first == nullptr || item.score > first->score)
-        {
-            second = first;
-            first = &item;
-        }
-        else if (second == nullptr || item.score > second->score)
-            second = &item;
-    }
-    if (first != nullptr)
-        first->place = 0;
-    if (second != nullptr)
-        second->place = 1;
-}
-
 void upstream_selector::predict(candidate& item, pick_request const& request, instant now)
 {
     upstream_state const& state = *item.state;
@@ -235,24 +197,6 @@
     item.cost_ms = item.answer_ms + failing * request.route.objective_ms * 2;
 }
 
-std::vector<upstream_selector::candidate> upstream_selector::candidates(pick_request const& request,
-                                                                        instant now)
-{
-    std::vector<candidate> found;
-    auto const of_service = by_service_.find(request.service);
-    if (of_service == by_service_.end())
-        return found;
-    for (bool const ejected_too : {false, true})
-    {
-        for (auto* state : of_service->second)
-            if (usable(*state, request, now, ejected_too))
-                found.push_back({state});
-        if (!found.empty())
-            break;
-    }
-    return found;
-}
-
 double upstream_selector::lateness_ms(candidate const& item, pick_request const& request,
                                       instant now) const
 {
@@ -301,15 +245,14 @@
     }
     bool const keyed = request.route.affinity && !request.object.empty();
     std::uint64_t const object = keyed ? object_hash(request.service, request.object) : random_();
-    rank(found, object, region_shares_of(request.service));
-    // An upstream that does not have the object cached takes several times as long. Under load that
-    // costs more slots than queueing at the object's two ranked upstreams.
-    bool const has_home = std::any_of(found.begin(), found.end(),
-                                      [](candidate const& item) { return item.place == 0; });
-    if (keyed && has_home)
-        std::erase_if(found, [](candidate const& item) { return item.place > 1; });
+    gradual_shares& shares = region_shares_of(request.service, now);
+    if (keyed)
+        rank_homes(found, request.service, object, shares.at(now));
+    else
+        rank(found, object, shares.at(now));
     double& spill = spill_tokens_[request.service];
-    spill = std::min(max_spill_tokens, spill + settings_.max_spill_ratio);
+    // Both move requests to other regions, and the limit is on their sum.
+    spill = shares.is_moving() ? 0 : std::min(max_spill_tokens, spill + settings_.max_spill_ratio);
     region_name home_region;
     for (auto const& item : found)
         if (item.place == 0)
--- a/src/routing/upstream_selector.hpp
+++ b/src/routing/upstream_selector.hpp
@@ -6,6 +6,7 @@
 #include "base/instant.hpp"
 #include "fleet/view_messages.hpp"
 #include "routing/attempt_policy.hpp"
+#include "routing/gradual_shares.hpp"
 #include "routing/placement.hpp"
 #include "routing/route_config.hpp"
 #include "routing/upstream_statements.hpp"
@@ -31,6 +32,9 @@
     std::map<failure_domain_name, region_name> regions;
     /// Maximum fraction of a region's requests that may go to another region because of load.
     double max_spill_ratio = 0.08;
+    /// Maximum fraction of a region's requests that may change the region in which they run from
+    /// one window of 2 s to the next, unless upstreams fail.
+    double max_region_shift = 0.15;
 };
 
 /// Load that an upstream reports with a response.
@@ -169,6 +173,8 @@
 
         /// It gets no new requests for good.
         bool is_leaving() const { return row.draining || stated.is_leaving; }
+        /// Objects may have it as their home, also while it is ineligible.
+        bool may_be_home() const { return !is_leaving() && !replaced; }
 
         /// Weight of `other_hosts_load` at `now`, decayed by its age.
         double load_weight(instant now) const;
@@ -188,7 +194,6 @@
     struct candidate
     {
         upstream_state* state = nullptr;
-        double score = 0;
         int place = 2;
         double wait_ms = 0;
         /// Predicted latency of the answer.
@@ -206,9 +211,16 @@
     double warmup_spacing_ms(upstream_state const& state) const;
     /// Eligible upstreams; ejected ones only if there are no others.
     std::vector<candidate> candidates(pick_request const& request, instant now);
-    /// Sets the scores and the affinity ranks.
+    /// Sets the affinity ranks of a request without an object key: the highest scores of the
+    /// candidates in a region that is drawn by the shares.
     void rank(std::vector<candidate>& found, std::uint64_t object,
               std::vector<region_share> const& shares) const;
+    /// Sets the affinity ranks of a request for an object by the scores of all upstreams that may
+    /// be its home, whether they are eligible at the moment or not, and erases the candidates that
+    /// are not to be used. An upstream's weight is its part of its region's share, so that a change
+    /// of slots or shares moves little more objects than it must.
+    void rank_homes(std::vector<candidate>& found, service_name const& service,
+                    std::uint64_t object, std::vector<region_share> const& shares) const;
     /// By how much the predicted answer is too late to send the request; not positive if it is
     /// early enough.
     double lateness_ms(candidate const& item, pick_request const& request, instant now) const;
@@ -222,9 +234,14 @@
     /// Estimated round trip to the upstream.
     double round_trip_ms(upstream_state const& state) const;
     service_time& service_time_of(route_config const& route);
-    /// Shares of the regions in this region's requests of the service; cached until the view
-    /// changes.
-    std::vector<region_share> const& region_shares_of(service_name const& service);
+    /// Shares of the regions in this region's requests of the service.
+    gradual_shares& region_shares_of(service_name const& service, instant now);
+    /// Shares that follow from the view, without regard to former ones.
+    std::vector<region_share> target_shares(service_name const& service) const;
+    /// Sets the targets of all shares by the view.
+    void update_region_shares(instant now);
+    /// Notes the removal of an upstream, which is a failure unless it was leaving or evacuated.
+    void note_failed(upstream_state const& state);
     void learn_time(upstream_state& state, pick const& chosen, std::string const& route,
                     double took_ms, instant now);
     void eject(upstream_state& state, instant now);
@@ -238,13 +255,17 @@
     std::map<upstream_name, upstream_state> upstreams_;
     /// Pointers into `upstreams_`, by service.
     std::unordered_map<service_name, std::vector<upstream_state*>> by_service_;
+    /// Pointers into `upstreams_`, by service and region, without those in evacuated domains.
+    std::unordered_map<service_name, std::map<region_name, std::vector<upstream_state*>>> homes_;
     std::set<failure_domain_name> evacuated_;
     /// Hashes of the names of all entry hosts.
     std::vector<std::uint64_t> entry_hashes_;
     std::unordered_map<service_name, routed_service> services_;
     /// Service times by route.
     std::unordered_map<std::string, service_time> service_times_;
-    std::unordered_map<service_name, std::vector<region_share>> region_shares_;
+    std::unordered_map<service_name, gradual_shares> region_shares_;
+    /// Regions in which upstreams of a service failed since its shares were last updated.
+    std::unordered_map<service_name, std::set<region_name>> failed_;
     /// Token bucket of each service for requests that load moves to another region.
     std::unordered_map<service_name, double> spill_tokens_;
     /// Moving average of the time to establish a connection, which takes one round trip.
