--- a/src/routing/gradual_shares.cpp
+++ b/src/routing/gradual_shares.cpp
@@ -25,8 +25,16 @@
         targets_.push_back(item.share);
 }
 
-void gradual_shares::set_target(std::vector<region_share> target,
-                                std::set<region_name> const& failed, instant now)
+double gradual_shares::remaining() const
+{
+    double out = 0;
+    for (std::size_t i = 0; i < shares_.size(); ++i)
+        out += std::max(0.0, excess(i));
+    return out;
+}
+
+double gradual_shares::set_target(std::vector<region_share> target,
+                                  std::set<region_name> const& failed, instant now)
 {
     at(now);
     bool const is_empty = std::all_of(shares_.begin(), shares_.end(),
@@ -35,7 +43,7 @@
     {
         *this = gradual_shares(std::move(target), max_shift_per_s_, started_);
         updated_ = now;
-        return;
+        return 0;
     }
     std::map<region_name, std::pair<double, double>> merged;
     for (auto const& item : shares_)
@@ -62,6 +70,7 @@
         for (std::size_t i = 0; i < shares_.size(); ++i)
             shares_[i].share += std::max(0.0, -excess(i)) * std::min(1.0, freed / missing);
     reached_ = false;
+    return remaining();
 }
 
 std::vector<region_share> const& gradual_shares::at(instant now)
@@ -70,14 +79,11 @@
     updated_ = now;
     if (reached_)
         return shares_;
-    double remaining = 0;
-    for (std::size_t i = 0; i < shares_.size(); ++i)
-        remaining += std::max(0.0, excess(i));
+    double const left = remaining();
     double const step = std::max(0.0, elapsed_s) * max_shift_per_s_;
-    reached_ = remaining <= step + negligible;
+    reached_ = left <= step + negligible;
     for (std::size_t i = 0; i < shares_.size(); ++i)
-        shares_[i].share =
-            reached_ ? targets_[i] : shares_[i].share - excess(i) * (step / remaining);
+        shares_[i].share = reached_ ? targets_[i] : shares_[i].share - excess(i) * (step / left);
     return shares_;
 }
 
--- a/src/routing/gradual_shares.hpp
+++ b/src/routing/gradual_shares.hpp
@@ -25,9 +25,10 @@
 
     /// Sets the shares to approach. Regions in `failed`, which lost upstreams by failure or have
     /// none left, lose the excess of their shares at once. While upstreams are still being
-    /// registered, shortly after the first request, all shares are set at once.
-    void set_target(std::vector<region_share> target, std::set<region_name> const& failed,
-                    instant now);
+    /// registered, shortly after the first request, all shares are set at once. Returns the
+    /// fraction of the requests that still has to move to reach the target.
+    double set_target(std::vector<region_share> target, std::set<region_name> const& failed,
+                      instant now);
 
     /// Shares in force at `now`, in the order of region names. Precondition: `now` does not
     /// decrease between calls.
@@ -36,6 +37,8 @@
     bool is_moving() const { return !reached_; }
 
 private:
+    /// Fraction of the requests that has to move to reach the target.
+    double remaining() const;
     double excess(std::size_t i) const { return shares_[i].share - targets_[i]; }
 
     double max_shift_per_s_;
--- a/src/routing/upstream_ranking.cpp
+++ b/src/routing/upstream_ranking.cpp
@@ -1,7 +1,9 @@
 // Ranks the upstreams of a service for an object, and keeps the shares of regions.
+#include "base/log.hpp"
 #include "routing/upstream_selector.hpp"
 
 #include <algorithm>
+#include <cmath>
 
 namespace guavashed
 {
@@ -15,6 +17,13 @@
 constexpr double shift_margin = 0.03;
 /// Least speed at which shares follow the view.
 constexpr double min_shift_per_s = 0.01;
+/// Smaller shifts, such as those of a single upstream, are not logged.
+constexpr double min_logged_shift = 0.03;
+
+int permille_of(double share)
+{
+    return static_cast<int>(std::lround(share * 1000));
+}
 
 /// The two items with the highest scores.
 template <class Item>
@@ -114,7 +123,18 @@
                 std::none_of(of_region->second.begin(), of_region->second.end(),
                              [](auto const* state) { return state->may_be_home(); }))
                 failed.insert(item.region);
-        shares.set_target(target_shares(service), failed, now);
+        std::vector<region_share> const target = target_shares(service);
+        double const moving = shares.set_target(target, failed, now);
+        if (moving < min_logged_shift && failed.empty())
+            continue;
+        std::string targets;
+        for (auto const& item : target)
+            targets += (targets.empty() ? "" : ",") + item.region.value() + ":" +
+                       std::to_string(permille_of(item.share));
+        log_change(log_level::info, "region_shares",
+                   "service=" + service.value() + " target_permille=" + targets +
+                       " moving_permille=" + std::to_string(permille_of(moving)) +
+                       " failed_regions=" + std::to_string(failed.size()));
     }
     failed_.clear();
 }
