Reject responses with a status outside 200 to 599

The parser takes any three digits as a status, so "HTTP/1.1 000 X", 007, 099, 600 and 999 were passed on to callers, and with the statement that the request was not run they counted as proof of it.

http_client ends the call as possibly run as soon as the head has such a status, and closes the connection; interim responses are handled as before. All clients of the project (upstreams, operator calls, stand-ins) use it. judge, proves_not_run and may_relay_failure reject such a status once more, so that none is relayed by any other way.

--- a/src/routing/attempt_policy.hpp
+++ b/src/routing/attempt_policy.hpp
@@ -3,6 +3,8 @@
 /// the request may be retried, and what the attempt indicates about the upstream.
 #pragma once
 
+#include "base/response_status.hpp"
+
 #include <cstdint>
 
 namespace guavashed
@@ -96,7 +98,8 @@
 /// safe; no preconditions.
 constexpr bool may_relay_failure(attempt_end const& end)
 {
-    return end.answered && end.status >= 500 && !promises_not_run(end.status);
+    return end.answered && end.status >= 500 && is_response_status(end.status) &&
+           !promises_not_run(end.status);
 }
 
 /// Whether the response proves that the upstream has not run the request and will not. Thread safe;
@@ -104,7 +107,7 @@
 constexpr bool proves_not_run(attempt_end const& end)
 {
     // Only a run yields a signature, and the surplus may be the answer of a run.
-    if (!end.answered || end.is_signed || end.has_surplus)
+    if (!end.answered || end.is_signed || end.has_surplus || !is_response_status(end.status))
         return false;
     if (end.status == status_misdirected)
         return end.sender != answer_sender::target && end.statement != execution_statement::unclear;
@@ -125,7 +128,9 @@
 {
     if (end.unsent)
         return attempt_verdict::not_run;
-    if (!end.answered)
+    // http_client rejects a status that is not one of a response; if one got here, nothing that
+    // the response says could be relied on.
+    if (!end.answered || !is_response_status(end.status))
         return attempt_verdict::may_have_run;
     bool const is_refusal = end.status == status_misdirected || promises_not_run(end.status);
     if (is_refusal || end.status >= 500)
--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -2,6 +2,7 @@
 #include "transport/http_client.hpp"
 
 #include "base/endpoint.hpp"
+#include "base/response_status.hpp"
 #include "transport/connection_pool.hpp"
 
 #include <algorithm>
@@ -183,6 +184,12 @@
     {
         if (code)
             return on_read(code);
+        if (parser_->is_header_done() && !has_known_status())
+            return finish_failed(send_stage::sent,
+                                 fail(error_code::invalid_request, "read answer",
+                                      call_.endpoint.value(),
+                                      "status " + std::to_string(parser_->get().result_int()) +
+                                          " is not one of a response"));
         if (!parser_->is_done())
         {
             std::size_t const held =
@@ -241,6 +248,13 @@
         finish(std::move(outcome));
     }
 
+    /// False for a status that is neither one of a final response nor of an interim one.
+    bool has_known_status() const
+    {
+        unsigned const status = parser_->get().result_int();
+        return status / 100 == 1 || is_response_status(status);
+    }
+
     /// False for a transfer coding that the parser doesn't decode; the body would be passed on
     /// encoded, without the field that says so.
     bool has_known_coding() const
--- a/test/correctness/routing/attempt_policy_test.cpp
+++ b/test/correctness/routing/attempt_policy_test.cpp
@@ -102,6 +102,15 @@
         end.unsent = true;
         CHECK(judge(end) == attempt_verdict::not_run);
     }
+    SECTION("a status that is not one of a response proves nothing and is never relayed")
+    {
+        unsigned const status = GENERATE(0u, 7u, 99u, 100u, 199u, 600u, 999u);
+        attempt_end end = answered(status, GENERATE(true, false), GENERATE(true, false));
+        CHECK(judge(end) == attempt_verdict::may_have_run);
+        CHECK(classify(end, judge(end)) == attempt_result::failed);
+        CHECK_FALSE(may_relay_failure(end));
+        CHECK_FALSE(proves_not_run(end));
+    }
     SECTION("an error of the caller's request is relayed")
     {
         CHECK(judge(answered(404, true)) == attempt_verdict::relay);
--- a/test/error/upstream_answer_test.cpp
+++ b/test/error/upstream_answer_test.cpp
@@ -221,6 +221,70 @@
     CHECK(outcome.stage == send_stage::sent);
 }
 
+// Guards against passing on a status that no caller understands, and against taking an upstream in
+// trouble for one that has answered.
+SCENARIO("a response with a status outside 200 to 599 is not valid")
+{
+    std::string const status = GENERATE("000 X", "007", "007 X", "099 X", "600 X", "999 X");
+    std::string const signature = GENERATE("", "X-Guavashed-Signature: 0123456789abcdef\r\n");
+    std::string const head = "HTTP/1.1 " + status + "\r\nX-Request-Id: 1\r\n" + signature;
+    INFO(head);
+    running_client running;
+    auto const check_rejected = [&](scripted_upstream const& upstream)
+    {
+        instant const start = instant::clock::now();
+        auto const outcome = running.call(upstream.endpoint(), "1");
+        CHECK_FALSE(outcome.response);
+        CHECK(outcome.stage == send_stage::sent);
+        CHECK(instant::clock::now() - start < milliseconds(2000));
+    };
+
+    GIVEN("a whole one")
+    {
+        scripted_upstream upstream(
+            {{head + "Content-Length: 3\r\n\r\nabc", answer_of("2", "two")}});
+        check_rejected(upstream);
+        THEN("its connection is not used again")
+        {
+            CHECK_FALSE(running.call(upstream.endpoint(), "1").response);
+            CHECK(upstream.connections() == 2);
+        }
+    }
+    GIVEN("one whose body has not arrived in whole")
+    {
+        scripted_upstream upstream({{head + "Content-Length: 10\r\n\r\nabc"}});
+        check_rejected(upstream);
+    }
+    GIVEN("one that breaks off in its body")
+    {
+        scripted_upstream upstream({{head + "Content-Length: 10\r\n\r\nabc"}, "", true});
+        CHECK_FALSE(running.call(upstream.endpoint(), "1").response);
+    }
+    GIVEN("one that breaks off in its head")
+    {
+        scripted_upstream upstream({{head}, "", true});
+        CHECK_FALSE(running.call(upstream.endpoint(), "1").response);
+    }
+    GIVEN("one behind an interim response")
+    {
+        scripted_upstream upstream(
+            {{"HTTP/1.1 103 Early Hints\r\n\r\n" + head + "Content-Length: 0\r\n\r\n"}});
+        check_rejected(upstream);
+    }
+}
+
+// Guards against rejecting responses that are valid.
+SCENARIO("the least and the greatest valid status are passed on")
+{
+    unsigned const status = GENERATE(200u, 299u, 304u, 404u, 599u);
+    scripted_upstream upstream({{"HTTP/1.1 " + std::to_string(status) +
+                                 " X\r\nX-Request-Id: 1\r\nContent-Length: 0\r\n\r\n"}});
+    running_client running;
+    auto const outcome = running.call(upstream.endpoint(), "1");
+    REQUIRE(outcome.response);
+    CHECK(outcome.response->status == status);
+}
+
 SCENARIO("an answer whose transfer coding can't be decoded is not passed on as if it had none")
 {
     std::string const coding =
