--- a/src/transport/frame_link.hpp
+++ b/src/transport/frame_link.hpp
@@ -38,7 +38,9 @@
     config_read = 18,
     announced_upstreams = 19,
     entry_report = 20,
-    fleet_changes = 21
+    fleet_changes = 21,
+    lease_request = 22,
+    lease_grant = 23
 };
 
 struct frame
