--- a/src/access/access_lease.cpp
+++ b/src/access/access_lease.cpp
@@ -11,7 +11,7 @@
 {
 
 /// A caller whose request waits for credit waits at most 250 ms.
-constexpr milliseconds urgent_interval{50};
+constexpr milliseconds min_urgent_interval{50};
 /// The same while requests stay unanswered: the group may be electing a leader.
 constexpr milliseconds unanswered_urgent_interval{150};
 /// Half of the required second: a host that loses contact right before its next request has as much
@@ -19,9 +19,11 @@
 constexpr milliseconds min_idle_interval{500};
 constexpr milliseconds min_report_interval{300};
 constexpr milliseconds max_interval{1000};
-/// The leader handles at most 500 idle requests or 1,000 reports a second (docs/CAPACITY.md).
-constexpr milliseconds idle_interval_per_host{2};
-constexpr milliseconds report_interval_per_host{1};
+/// The leader handles at most 500 idle requests, 1,000 reports and 5,000 urgent requests a second
+/// (docs/CAPACITY.md), up to the number of hosts at which the intervals reach their maximum.
+constexpr microseconds idle_interval_per_host{2000};
+constexpr microseconds report_interval_per_host{1000};
+constexpr microseconds urgent_interval_per_host{200};
 /// A forwarded exchange between regions takes two round trips of 110 ms; this allows for a busy
 /// host on the way, and is below the time of an election.
 constexpr milliseconds answer_timeout{700};
@@ -46,18 +48,27 @@
     return std::chrono::duration<double, std::milli>(to - from).count();
 }
 
+milliseconds interval_for(std::size_t entry_hosts, microseconds per_host, milliseconds least)
+{
+    auto const shared = std::chrono::duration_cast<milliseconds>(per_host * entry_hosts);
+    return std::clamp(shared, least, max_interval);
+}
+
 } // namespace
 
 milliseconds idle_lease_interval(std::size_t entry_hosts)
 {
-    return std::clamp(idle_interval_per_host * static_cast<int>(entry_hosts), min_idle_interval,
-                      max_interval);
+    return interval_for(entry_hosts, idle_interval_per_host, min_idle_interval);
 }
 
 milliseconds report_lease_interval(std::size_t entry_hosts)
 {
-    return std::clamp(report_interval_per_host * static_cast<int>(entry_hosts), min_report_interval,
-                      max_interval);
+    return interval_for(entry_hosts, report_interval_per_host, min_report_interval);
+}
+
+milliseconds urgent_lease_interval(std::size_t entry_hosts)
+{
+    return interval_for(entry_hosts, urgent_interval_per_host, min_urgent_interval);
 }
 
 access_lease::access_lease(key_lease_settings settings, host_name host, incarnation life)
@@ -76,9 +87,10 @@
     if (!need.active)
         return instant::max();
     bool const is_unanswered = is_unanswered_since(answer_timeout / 2, last_sent_);
-    milliseconds const shortest = is_unanswered ? unanswered_urgent_interval : urgent_interval;
+    milliseconds const shortest = urgent_lease_interval(need.entry_hosts);
     if (need.urgent || session_opened_)
-        return last_sent_ + shortest;
+        return last_sent_ +
+               (is_unanswered ? std::max(shortest, unanswered_urgent_interval) : shortest);
     return last_sent_ + (need.has_uses ? report_lease_interval(need.entry_hosts)
                                        : idle_lease_interval(need.entry_hosts));
 }
@@ -100,7 +112,7 @@
         auto const next = std::upper_bound(open.begin(), open.end(), target_);
         target_ = open.empty() ? endpoint_text() : next == open.end() ? open.front() : *next;
     }
-    else if (!is_open(target_) || !waiting_since_)
+    else if (!is_open(target_) || !outage_since_)
         target_ = is_open(source) ? source : open.empty() ? endpoint_text() : open.front();
     if (target_ == endpoint_text() && !outage_since_)
         outage_since_ = now;
--- a/src/access/access_lease.hpp
+++ b/src/access/access_lease.hpp
@@ -127,9 +127,10 @@
     lease_counters counters_;
 };
 
-/// Intervals between requests of one host, where no caller waits, by the number of entry hosts that
-/// share the leader: without uses to report, and with them. Thread safe.
+/// Shortest intervals between requests of one host, by the number of entry hosts that share the
+/// leader: without uses to report, with them, and while a caller waits. Thread safe.
 milliseconds idle_lease_interval(std::size_t entry_hosts);
 milliseconds report_lease_interval(std::size_t entry_hosts);
+milliseconds urgent_lease_interval(std::size_t entry_hosts);
 
 } // namespace guavashed
--- a/src/access/access_table.cpp
+++ b/src/access/access_table.cpp
@@ -31,6 +31,12 @@
     return std::binary_search(public_routes_.begin(), public_routes_.end(), route);
 }
 
+bool access_table::has_limits() const
+{
+    return std::any_of(workspaces_.begin(), workspaces_.end(),
+                       [](workspace_config const& item) { return item.is_limited(); });
+}
+
 workspace_config const* access_table::find(key_digest const& key) const
 {
     auto const at = std::lower_bound(keys_.begin(), keys_.end(), key,
--- a/src/access/access_table.hpp
+++ b/src/access/access_table.hpp
@@ -22,6 +22,8 @@
     explicit access_table(access_config config);
 
     bool requires_key() const { return requires_key_; }
+    /// Whether some workspace has a limit.
+    bool has_limits() const;
     /// Whether requests of that route need no key.
     bool is_public(std::string_view route) const;
     /// The workspace with that key, which lives as long as the table; null if there is none.
--- a/src/routing/retry_hint.cpp
+++ b/src/routing/retry_hint.cpp
@@ -2,6 +2,7 @@
 #include "routing/retry_hint.hpp"
 
 #include <algorithm>
+#include <cmath>
 
 namespace guavashed
 {
@@ -16,6 +17,10 @@
 constexpr double spread = 0.5;
 /// Callers follow a hint up to this fraction of the time that they have left.
 constexpr double followed_fraction = 1.0 / 3;
+/// Shortest wait of a caller beyond a limit: the round trip to a caller and back takes 16 ms.
+constexpr double min_limit_hint_ms = 20;
+/// The wait itself already differs between the callers of one host; this spreads those of several.
+constexpr double limit_spread = 0.2;
 
 } // namespace
 
@@ -27,4 +32,10 @@
     return static_cast<std::uint32_t>(std::min(hint, followed));
 }
 
+std::uint32_t limit_hint_ms(double wait_ms, double unit_random)
+{
+    double const hint = std::max(min_limit_hint_ms, wait_ms) * (1 + limit_spread * unit_random);
+    return static_cast<std::uint32_t>(std::ceil(hint));
+}
+
 } // namespace guavashed
--- a/src/routing/retry_hint.hpp
+++ b/src/routing/retry_hint.hpp
@@ -24,4 +24,11 @@
 /// safe.
 std::uint32_t retry_hint_ms(refusal_facts const& facts, double unit_random);
 
+/// Computes when a caller beyond the limit of its workspace should come back, in milliseconds:
+/// after `wait_ms`, the time until the limit admits a request, and within a fraction of it again,
+/// since all callers of a workspace that are refused together would otherwise return together. It
+/// does not depend on the caller's own time: earlier, the request would be refused again. Thread
+/// safe.
+std::uint32_t limit_hint_ms(double wait_ms, double unit_random);
+
 } // namespace guavashed
--- a/test/correctness/routing/retry_hint_test.cpp
+++ b/test/correctness/routing/retry_hint_test.cpp
@@ -54,3 +54,12 @@
     // Spread evenly over the 300 ms that they may take, 100 would come back in any 50 ms.
     CHECK(most < 200);
 }
+
+// Guards against callers beyond a limit that come back before it admits them, or all at once.
+SCENARIO("a caller beyond the limit of its workspace comes back after the true wait")
+{
+    CHECK(limit_hint_ms(1200, 0) == 1200);
+    CHECK(limit_hint_ms(1200, 0.999) <= 1440);
+    CHECK(limit_hint_ms(0.4, 0) == 20);
+    CHECK(limit_hint_ms(333.2, 0) == 334);
+}
