Grant leases of keys and credit on the leader, and pass requests of others on to it

Entry hosts need to know which change of access was the last to be acknowledged, and how much of a limit they may use. A follower passes requests of entry hosts on, and the grants back.

--- a/src/fleet/registry_node.cpp
+++ b/src/fleet/registry_node.cpp
@@ -30,7 +30,8 @@
                              std::function<void()> on_failure)
     : settings_(std::move(settings)), protocol_(protocol), on_failure_(std::move(on_failure)),
       self_(settings_.peer_listen.value()), event_loop_("control"),
-      ticker_(event_loop_, tick_interval, [this](instant now) { tick(now); }), tickets_(self_)
+      ticker_(event_loop_, tick_interval, [this](instant now) { tick(now); }),
+      quota_ledger_(settings_.quota), tickets_(self_)
 {
 }
 
@@ -133,6 +134,7 @@
             replica_->drive();
         }
     }
+    grant_waiting_leases(now);
     expire_pending(now);
     push_changes(now);
 }
@@ -169,7 +171,12 @@
     out.install = [this](raft_snapshot const& snapshot) { install(snapshot); };
     out.apply = [this](raft_entry const& entry) { apply(entry); };
     out.send = [this](raft_message const& message) { send_raft(message); };
-    out.applied = [this] { push_changes(instant::clock::now()); };
+    out.applied = [this]
+    {
+        instant const now = instant::clock::now();
+        grant_waiting_leases(now);
+        push_changes(now);
+    };
     out.on_role_update = [this] { note_leader(instant::clock::now()); };
     out.failed = [this](error const&) { on_failure_(); };
     out.save = [this] { return register_.save(); };
@@ -259,6 +266,14 @@
         if (auto message = decode<entry_report>(item.payload, session->peer()))
             return on_entry_report(session, std::move(message).value());
         break;
+    case frame_type::lease_request:
+        if (auto message = decode<lease_request>(item.payload, session->peer()))
+            return on_lease_request(session, std::move(message).value());
+        break;
+    case frame_type::lease_grant:
+        if (auto message = decode<lease_grant>(item.payload, session->peer()))
+            return on_lease_grant(message.value());
+        break;
     default:
         break;
     }
--- a/src/fleet/registry_node.hpp
+++ b/src/fleet/registry_node.hpp
@@ -2,6 +2,8 @@
 /// Defines registry_node, a control host: one replica of the fleet register, and its servers.
 #pragma once
 
+#include "access/lease_messages.hpp"
+#include "access/quota_ledger.hpp"
 #include "base/ticker.hpp"
 #include "control/replica_driver.hpp"
 #include "fleet/fleet_register.hpp"
@@ -37,6 +39,8 @@
     milliseconds announce_interval{1500};
     /// Time for which callers may cache the answer of a look-up.
     milliseconds lookup_cache_time{2000};
+    /// How far limits of workspaces may be exceeded; a window of 0 where limits are not in force.
+    quota_settings quota;
 };
 
 struct registry_counters
@@ -50,6 +54,11 @@
     std::uint64_t pushed_bytes = 0;
     std::uint64_t leaders_seen = 0;
     std::uint64_t bad_frames = 0;
+    /// Received from entry hosts and from control hosts that passed them on.
+    std::uint64_t lease_requests = 0;
+    std::uint64_t lease_grants = 0;
+    std::uint64_t leases_forwarded = 0;
+    std::uint64_t lease_grants_passed_on = 0;
 };
 
 /// Runs on its own event loop, with a storage thread. Thread safety: construct, `start`, `leave`
@@ -98,6 +107,20 @@
         entry_report report;
         feed_position position;
     };
+    /// A lease request that waits until all committed entries are applied on this leader.
+    struct waiting_lease
+    {
+        frame_session_ptr session;
+        lease_request request;
+        instant until;
+    };
+    /// Session of an entry host whose lease request was passed on to the leader.
+    struct lease_route
+    {
+        frame_session_ptr session;
+        incarnation life;
+        instant until;
+    };
     /// Cache of the last encoded changes; many entry hosts lack the same ones.
     struct encoded_changes
     {
@@ -149,6 +172,20 @@
     std::string metrics() const;
 
     void on_entry_report(frame_session_ptr const& session, entry_report message);
+    /// Grants a lease, lets the request wait until this host may, or passes it on to the leader.
+    void on_lease_request(frame_session_ptr const& session, lease_request message);
+    /// True on a leader that holds its lease and has applied every acknowledged change.
+    bool may_grant_leases(instant now) const;
+    /// Precondition: `may_grant_leases(now)`.
+    void grant_lease(frame_session_ptr const& session, lease_request const& message, instant now);
+    void grant_waiting_leases(instant now);
+    void forward_lease_request(frame_session_ptr const& session, lease_request const& message,
+                               instant now);
+    /// Passes a leader's grant on to the entry host.
+    void on_lease_grant(lease_grant const& message);
+    /// On a leader: applies a change of the limits, and begins a new term.
+    void update_quota_ledger(instant now);
+    std::string lease_metrics() const;
     void push_changes(instant now);
     void push_to(instant now, entry_session& entry);
     void note_changes(instant now);
@@ -183,6 +220,12 @@
     /// As far as this host knows; a follower passes its part on to the leader.
     std::map<upstream_name, instant> last_announced_;
     std::vector<upstream_name> announced_since_flush_;
+    quota_ledger quota_ledger_;
+    /// What `quota_ledger_` was last configured with, and the term that it was begun for.
+    log_index quota_access_changed_;
+    log_term quota_term_;
+    std::map<host_name, waiting_lease> waiting_leases_;
+    std::map<host_name, lease_route> lease_routes_;
     ticket_source tickets_;
     std::uint64_t last_read_ = 0;
     bool leaving_ = false;
--- a/src/fleet/registry_orders.cpp
+++ b/src/fleet/registry_orders.cpp
@@ -247,6 +247,7 @@
     line("view_pushed_bytes_total", counters_.pushed_bytes);
     line("leaders_seen_total", counters_.leaders_seen);
     line("bad_frames_total", counters_.bad_frames);
+    out += lease_metrics();
     line("leads", raft_->is_leader() ? 1 : 0);
     line("applied_index", replica_->applied().value());
     line("config_version", register_.version().value());
