Accept keys under a lease, and take credit for requests of limited workspaces

A host that is cut off went on accepting keys that had been removed, and limits were not applied. An entry host now leases the use of keys from the leader and answers 503 with Retry-After without a lease; a request of a limited workspace takes credit, waits up to 250 ms where the host does not know whether there is any, and gets 429 beyond the limit. Credit of requests that did not run is returned. A host that has just started is ready with its first lease, or after 1 s for its public routes.

--- a/src/fleet/gateway_access.cpp
+++ b/src/fleet/gateway_access.cpp
@@ -13,6 +13,8 @@
 {
 
 constexpr unsigned status_unauthorized = 401;
+/// A grant takes one or two round trips between regions where a leader answers.
+constexpr milliseconds max_first_wait{1000};
 
 /// Regions that are on both lists, of which an empty one allows all; empty if there is none.
 std::optional<std::vector<region_name>> regions_on_both(std::vector<region_name> const& left,
@@ -35,8 +37,12 @@
 
 void gateway_node::adopt_access(access_config config)
 {
+    if (limits_in_force())
+        credit_.configure(config);
     // Requests that have passed the checks keep the table that they were checked with.
     access_ = std::make_shared<access_table const>(std::move(config));
+    if (!table_ && access_->requires_key() && settings_.key_lease.strict)
+        first_lease_by_ = instant::clock::now() + max_first_wait;
     log_change(log_level::info, "access",
                std::string("keys_required=") + (access_->requires_key() ? "1" : "0") +
                    " workspaces=" + std::to_string(access_->workspaces()) +
@@ -58,9 +64,9 @@
     return item.workspace == nullptr ? std::string() : " workspace=" + item.workspace->name.value();
 }
 
-bool gateway_node::keys_usable(instant) const
+bool gateway_node::keys_usable(instant now) const
 {
-    return true;
+    return lease_.keys_usable(now);
 }
 
 bool gateway_node::authorize(call_ptr const& item)
@@ -82,7 +88,8 @@
     }
     if (!keys_usable(now))
     {
-        refuse(item, "this host cannot check keys at the moment", 0);
+        ++counters_.without_lease;
+        refuse(item, "this host cannot check keys at the moment", lease_.expected_grant_ms(now));
         return false;
     }
 
@@ -90,8 +97,8 @@
     if (!identify(item))
         return false;
 
-    // Credit: the limit of the workspace. Empty, no limit is in force.
-    return true;
+    // Credit: the limit of the workspace.
+    return take_credit(item, now);
 }
 
 bool gateway_node::identify(call_ptr const& item)
--- a/src/fleet/gateway_calls.cpp
+++ b/src/fleet/gateway_calls.cpp
@@ -93,9 +93,11 @@
     item->service = item->table->next_service(*item->route);
     link_request const claim{item->route->name, item->priority, item->route->objective_ms,
                              item->request.body.size()};
-    if (!link_budget_.admit(claim, item->arrived))
+    // Not its arrival, which may be earlier than that of a request admitted before it.
+    instant const now = instant::clock::now();
+    if (!link_budget_.admit(claim, now))
     {
-        double const queue_ms = link_budget_.queue_ms(item->arrived);
+        double const queue_ms = link_budget_.queue_ms(now);
         return refuse(item,
                       "network link of this host saturated: queue_ms=" + integer_text(queue_ms),
                       queue_ms);
@@ -286,6 +288,7 @@
                                integer_text(ms_between(item->arrived, instant::clock::now())) +
                                " attempts=" + std::to_string(item->attempts) +
                                workspace_text(*item));
+    held_.remove(item);
     if (item->running != 0)
         client_.cancel(item->running);
 }
@@ -310,6 +313,7 @@
     GUAVASHED_INVARIANT(!item->may_have_run)
         << "request " << item->facts.id << " refused as not run, though an attempt may have run";
     ++counters_.refused;
+    return_credit(*item);
     std::uint32_t const hint =
         retry_hint_ms({expected_ms, ms_between(instant::clock::now(), caller_deadline(*item))},
                       std::uniform_real_distribution<double>()(random_));
--- a/src/fleet/gateway_drain.cpp
+++ b/src/fleet/gateway_drain.cpp
@@ -71,6 +71,7 @@
     is_cutting_short_ = true;
     counters_.cut_short_by_stop += calls_.size();
     // Each attempt ends with an error, upon which its request is answered.
+    refuse_held();
     auto const unanswered = calls_;
     for (auto const& item : unanswered)
         if (item->running != 0)
--- a/src/fleet/gateway_links.cpp
+++ b/src/fleet/gateway_links.cpp
@@ -152,6 +152,8 @@
                    "peer=" + session->peer() + " sessions=" + std::to_string(open_sessions()));
         choose_source(now);
         report_to(endpoint, control, now);
+        lease_.note_session_opened(now);
+        drive_lease(now);
     }
 }
 
--- a/src/fleet/gateway_node.cpp
+++ b/src/fleet/gateway_node.cpp
@@ -32,7 +32,10 @@
       client_(event_loop_, settings_.max_buffered_bytes),
       board_({settings_.name, settings_.region, settings_.domain, settings_.regions},
              std::random_device{}()),
-      link_budget_(settings_.link_bytes_per_s)
+      link_budget_(settings_.link_bytes_per_s),
+      lease_(settings_.key_lease, settings_.name,
+             incarnation(static_cast<std::uint64_t>(wall_ms(std::chrono::system_clock::now())))),
+      lease_timer_(event_loop_.context())
 {
 }
 
@@ -91,6 +94,7 @@
     detect_pause(now);
     choose_source(now);
     report_when_due(now);
+    drive_lease(now);
 }
 
 void gateway_node::on_frame(frame_session_ptr const& session, frame&& item)
@@ -98,6 +102,9 @@
     if (item.type == frame_type::fleet_changes)
         if (auto message = decode<fleet_changes>(item.payload, session->peer()))
             return on_changes(std::move(message).value(), *session);
+    if (item.type == frame_type::lease_grant)
+        if (auto message = decode<lease_grant>(item.payload, session->peer()))
+            return on_lease_grant(message.value());
     if (item.type == frame_type::greeting)
         return;
     ++counters_.bad_frames;
@@ -121,6 +128,8 @@
     if (changes.config)
         adopt_config(std::move(*changes.config));
     view_index_ = changes.to;
+    lease_.note_view(view_index_);
+    drive_lease(instant::clock::now());
     divide_retry_budget();
     if (newer)
         log_change(
@@ -208,6 +217,7 @@
     line("in_flight", calls_.size());
     line("control_sessions", open_sessions());
     line("view_index", view_index_);
+    out += lease_metrics();
     line("config_version", table_ ? table_->config().version.value() : 0);
     std::uint64_t below = 0;
     for (std::size_t at = 0; at < bucket_ms.size(); ++at)
--- a/src/fleet/gateway_node.hpp
+++ b/src/fleet/gateway_node.hpp
@@ -3,7 +3,11 @@
 /// upstreams.
 #pragma once
 
+#include "access/access_lease.hpp"
 #include "access/access_table.hpp"
+#include "access/credit_account.hpp"
+#include "access/held_queue.hpp"
+#include "access/quota_ledger.hpp"
 #include "base/ticker.hpp"
 #include "fleet/call_protocol.hpp"
 #include "fleet/drain_schedule.hpp"
@@ -47,6 +51,9 @@
     std::size_t max_buffered_bytes = 64 * 1024 * 1024;
     /// Capacity of the host's network link, each way; 0 for no known bound.
     double link_bytes_per_s = 0;
+    key_lease_settings key_lease;
+    /// Limits of workspaces are in force where the window is above 0.
+    quota_settings quota;
 };
 
 struct gateway_counters
@@ -64,6 +71,15 @@
     std::array<std::uint64_t, 3> not_run{};
     /// Requests without a known key on routes that need one.
     std::uint64_t unauthorized = 0;
+    /// Refusals because the lease of the keys had ended.
+    std::uint64_t without_lease = 0;
+    /// Refusals beyond the limit of a workspace.
+    std::uint64_t over_limit = 0;
+    /// Requests that waited for credit, and those of them that got no decision in time.
+    std::uint64_t held = 0;
+    std::uint64_t hold_timeouts = 0;
+    /// Credit of requests that were refused without having run.
+    std::uint64_t credit_refunds = 0;
     /// Requests that were unanswered at the end of a planned stop.
     std::uint64_t cut_short_by_stop = 0;
     /// Refusals of upstreams that don't prove that the request was not run.
@@ -112,6 +128,8 @@
         workspace_config const* workspace = nullptr;
         /// Of the workspace where it has one, otherwise of the route.
         std::uint32_t priority = 0;
+        /// Credit of the workspace was taken for the request, and not returned.
+        bool has_credit = false;
         /// Regions whose upstreams may serve the request; empty for all.
         std::vector<region_name> regions;
         service_name service;
@@ -162,7 +180,10 @@
     void adopt_access(access_config config);
     void update_control_links(std::vector<endpoint_text> const& controls);
     bool is_leaving() const { return drain_.end_by != instant::max(); }
-    bool is_ready() const { return table_ != nullptr && !is_leaving(); }
+    bool is_ready() const
+    {
+        return table_ != nullptr && !is_leaving() && first_lease_by_ == instant();
+    }
     /// Runs `action` on the event loop and returns its result. Not on the event loop itself.
     template <class Action>
     auto on_event_loop(Action action);
@@ -176,6 +197,28 @@
     bool authorize(call_ptr const& item);
     /// Whether this host knows which keys are valid at `now`.
     bool keys_usable(instant now) const;
+    bool limits_in_force() const;
+    lease_need need_of_lease(instant now) const;
+    /// Lets a host that has just started become ready once its keys are usable.
+    void end_first_wait(instant now);
+    /// Sends the lease request that is due, refuses requests that were held too long, and sets the
+    /// timer for the next time that one of these is due.
+    void drive_lease(instant now);
+    /// False when no session with a control host is open.
+    bool send_lease_request(instant now);
+    void on_lease_grant(lease_grant const& grant);
+    /// Takes credit for the request where its workspace has a limit; holds it while this host does
+    /// not know whether there is any. True if it may go on now, false if it was answered or held.
+    bool take_credit(call_ptr const& item, instant now);
+    /// Answers the request if its workspace is over its limit.
+    credit_verdict decide_credit(call_ptr const& item, instant now, bool was_held);
+    void hold_for_credit(call_ptr const& item, instant now);
+    void refuse_without_credit(call_ptr const& item, std::string const& reason, instant now);
+    /// Returns the credit of a request that did not run.
+    void return_credit(call& item);
+    /// Answers the requests that wait for credit when this host stops.
+    void refuse_held();
+    std::string lease_metrics() const;
     /// Sets the workspace of the request's key and what follows from it. False if the request was
     /// answered.
     bool identify(call_ptr const& item);
@@ -226,6 +269,14 @@
     std::shared_ptr<route_table> table_;
     /// Null while no access configuration was received: callers need no key.
     std::shared_ptr<access_table const> access_;
+    /// While a host that has just started waits for its first lease: how long it stays not ready
+    /// for it, as public routes need none. `instant()` otherwise.
+    instant first_lease_by_;
+    access_lease lease_;
+    credit_account credit_;
+    boost::asio::steady_timer lease_timer_;
+    /// Requests that wait for credit. A caller waits no longer than two round trips to the leader.
+    held_queue<call_ptr> held_{256, milliseconds(250)};
     std::uint64_t view_index_ = 0;
     /// Control host from which this host receives its view; empty while there is none.
     endpoint_text source_;
