Read the settings of strict revocation and limits

They come as strict_revoke, revoke_ms, quota_window_s, quota_overshoot and quota_slack in the bounds of the settings file. Deployments that name none are served as before.

--- a/test/error/platform_settings_test.cpp
+++ b/test/error/platform_settings_test.cpp
@@ -27,7 +27,7 @@
 limits.link_mbps=3.2
 data_dir=/data/my-core
 heartbeat_ms=1500
-bounds=retry_budget=0.2,budget_extra=64,ttl_max_s=5,grace_s=6
+bounds=retry_budget=0.2,budget_extra=64,ttl_max_s=5,grace_s=6,strict_revoke=true,revoke_ms=4000,quota_window_s=5,quota_overshoot=0.1,quota_slack=20
 a.field.of.tomorrow=1
 )";
 
@@ -68,6 +68,20 @@
     CHECK(role.peer_listen == endpoint_text("10.1.0.12:7720"));
     CHECK(role.founding);
     CHECK(role.lookup_cache_time <= std::chrono::seconds(5));
+    CHECK(role.quota.window_s == 5);
+    CHECK(role.quota.slack == 20);
+    CHECK(gateway_settings_of(out).key_lease.strict);
+    CHECK(gateway_settings_of(out).key_lease.revoke == milliseconds(4000));
+    CHECK(gateway_settings_of(out).quota.overshoot == Approx(0.1));
+}
+
+TEST_CASE("deployments whose settings name neither revocation nor limits have none")
+{
+    auto const settings = read(without("bounds") + "bounds=grace_s=6,revoke_ms=4000\n");
+    REQUIRE(settings);
+    CHECK_FALSE(gateway_settings_of(settings.value()).key_lease.strict);
+    CHECK(gateway_settings_of(settings.value()).quota.window_s == 0);
+    CHECK(registry_settings_of(settings.value()).quota.window_s == 0);
 }
 
 TEST_CASE("an invalid settings file is refused with an error that names field and file")
@@ -83,6 +97,9 @@
         std::pair(without("listen.control") + "listen.control=here:1\n",
                   std::string("listen.control")),
         std::pair(without("bounds") + "bounds=retry_budget=much\n", std::string("retry_budget")),
+        std::pair(without("bounds") + "bounds=strict_revoke=yes\n", std::string("strict_revoke")),
+        std::pair(without("bounds") + "bounds=strict_revoke=true,revoke_ms=0\n",
+                  std::string("revoke_ms")),
         std::pair(without("limits.link_mbps") + "limits.link_mbps=fast\n",
                   std::string("limits.link_mbps")),
         std::pair(without("serves") + "serves=tea\n", std::string("serves")),
