--- a/test/fleet/platform_fleet.cpp
+++ b/test/fleet/platform_fleet.cpp
@@ -108,7 +108,7 @@
            std::to_string(options_.base_port + last_peer_port) + "\nseeds=" + seeds +
            "\nlimits.max_fds=4096\nheartbeat_ms=300\n"
            "bounds=retry_budget=0.2,budget_extra=64,ttl_max_s=5,grace_s=" +
-           std::to_string(options_.grace_s) + "\n";
+           std::to_string(options_.grace_s) + options_.extra_bounds + "\n";
 }
 
 void platform_fleet::spawn(std::string const& name, std::string const& settings)
@@ -262,14 +262,19 @@
     return outcome.response->status;
 }
 
-unsigned platform_fleet::request_entry(unsigned entry, http_request request)
+std::optional<http_response> platform_fleet::call_entry(unsigned entry, http_request request)
 {
     http_call order;
     order.endpoint = entry_endpoint(entry);
     order.request = std::move(request);
     order.fresh_connection = true;
-    auto const outcome = call(std::move(order));
-    return outcome.response ? outcome.response->status : 0;
+    return call(std::move(order)).response;
+}
+
+unsigned platform_fleet::request_entry(unsigned entry, http_request request)
+{
+    auto const response = call_entry(entry, std::move(request));
+    return response ? response->status : 0;
 }
 
 std::string platform_fleet::document(std::uint64_t version) const
@@ -288,11 +293,18 @@
         std::string const name = "unused-" + std::to_string(i);
         unused += ",\"" + name + "\":" + route(("/" + name + "/").c_str(), "safe");
     }
+    // Without workspaces the field says nothing.
+    std::string const open_route =
+        options_.tenants.empty()
+            ? ""
+            : ",\"open\":" + route("/open/", "safe").insert(1, "\"public\":true,");
     return "{\"version\":\"r" + std::to_string(version) + "\",\"base_version\":\"r" +
            std::to_string(accepted_) + "\",\"routes\":{\"check\":" + route("/check/", "safe") +
-           ",\"confirm\":" + route("/confirm/", "unsafe") + unused +
+           ",\"confirm\":" + route("/confirm/", "unsafe") + open_route + unused +
            "},\"services\":{\"roster\":{\"health_path\":\"/health\",\"max_connections\":300,"
-           "\"warmup_s\":2.0,\"warmup_per_s\":6}},\"limits\":{\"max_header_bytes\":16384,"
+           "\"warmup_s\":2.0,\"warmup_per_s\":6}}," +
+           (options_.tenants.empty() ? "" : "\"tenants\":" + options_.tenants + ",") +
+           "\"limits\":{\"max_header_bytes\":16384,"
            "\"max_body_bytes\":1048576,\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000}}";
 }
 
--- a/test/fleet/platform_fleet.hpp
+++ b/test/fleet/platform_fleet.hpp
@@ -13,6 +13,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -44,6 +45,10 @@
     unsigned pausing_upstreams = 0;
     /// Whether entry hosts reach the upstreams through relays.
     bool relays = false;
+    /// Table of workspaces in the configuration, as JSON; empty for a configuration without one.
+    std::string tenants;
+    /// Further items of the setting `bounds`, each with a comma before it.
+    std::string extra_bounds;
     /// Routes without requests, which make each configuration longer.
     unsigned unused_routes = 0;
     std::uint64_t seed = 1;
@@ -72,12 +77,17 @@
     /// Sends a request to a control host and returns the HTTP status, or 0 without a response.
     unsigned request_control(unsigned control, std::string const& method, std::string const& target,
                              std::string const& body = {}, std::string* answer = nullptr);
+    /// Sends a caller's request to an entry host; empty without a response. Thread safe.
+    std::optional<guavashed::http_response> call_entry(unsigned entry,
+                                                       guavashed::http_request request);
     /// Sends a caller's request to an entry host and returns the HTTP status, or 0 without a
     /// response.
     unsigned request_entry(unsigned entry, guavashed::http_request request);
     /// Submits a new configuration version to the control hosts in turn until one accepts it.
     /// Returns false when none does so within `limit_s`.
     bool configure(std::uint64_t version, double limit_s = 10);
+    /// Replaces the table of workspaces in the configurations that are submitted from now on.
+    void set_tenants(std::string tenants) { options_.tenants = std::move(tenants); }
     /// Configuration version that a control host returns; 0 when the request fails.
     std::uint64_t read_version(unsigned control);
     std::uint64_t accepted_version() const { return accepted_; }
