--- a/src/access/credit_account.cpp
+++ b/src/access/credit_account.cpp
@@ -16,9 +16,13 @@
 constexpr double demand_memory_s = 1;
 /// Two exchange intervals and a round trip between regions: a line lasts over one lost exchange.
 constexpr double wanted_span_s = 0.75;
-/// Demand per second from which a line of at least 2 is asked for, and lines are renewed without a
+/// Demand per second above which a line of at least 2 is asked for, and lines are renewed without a
 /// request. Below it most lines would expire unused, and hold credit that other hosts need.
 constexpr double steady_demand = 1;
+/// Demand per second from which one credit is kept in reserve.
+constexpr double least_demand = 0.1;
+/// How long no reserve is asked for after a grant of less than was wanted.
+constexpr std::chrono::seconds tight_memory{2};
 /// Lines are renewed this long before they expire: an exchange interval and a round trip.
 constexpr milliseconds renewal_lead{500};
 /// A shortage is taken as current at least this long: one exchange interval and a round trip, since
@@ -50,10 +54,14 @@
 std::uint32_t credit_account::account::wanted(instant now) const
 {
     double const rate = demand_per_s(now);
-    if (rate < 0.1)
-        return 0;
-    auto const expected = static_cast<std::uint32_t>(std::ceil(rate * wanted_span_s));
-    return std::max(expected, rate >= steady_demand ? 2U : 1U);
+    double const expected = rate * wanted_span_s;
+    if (now < tight_until)
+        return std::max(static_cast<std::uint32_t>(expected), asked);
+    if (rate > steady_demand)
+        return std::max({static_cast<std::uint32_t>(std::ceil(expected)), asked, 2U});
+    if (asked > 0)
+        return asked + 1;
+    return rate >= least_demand ? 1 : 0;
 }
 
 bool credit_account::account::must_report(instant now) const
@@ -81,6 +89,8 @@
         return;
     last_applied = reported_at;
     confirmed = answered->total;
+    if (line.credit < answered->wanted)
+        tight_until = now + tight_memory;
     ceiling = answered->total + line.credit;
     valid_until = reported_at + credit_lifetime - credit_margin;
     unanswered.erase(unanswered.begin(), answered + 1);
@@ -139,6 +149,8 @@
         ++over_limit_total_;
         return {credit_verdict::over_limit, item.take_turn(now)};
     }
+    // Requests that wait longer than one exchange are asked for again, as at least one.
+    item.asked = is_retry ? std::max(item.asked, 1U) : item.asked + 1;
     ++unknown_total_;
     is_urgent_ = true;
     return {credit_verdict::unknown, 0};
@@ -175,8 +187,10 @@
         item.last_report = now;
         if (item.unanswered.size() == max_unanswered)
             item.unanswered.pop_front();
-        item.unanswered.push_back({now, item.admitted});
-        out.push_back({name, item.admitted, item.wanted(now)});
+        auto const wanted = item.wanted(now);
+        item.asked = 0;
+        item.unanswered.push_back({now, item.admitted, wanted});
+        out.push_back({name, item.admitted, wanted});
     }
     return out;
 }
--- a/src/access/credit_account.hpp
+++ b/src/access/credit_account.hpp
@@ -71,6 +71,7 @@
     {
         instant reported_at;
         std::int64_t total = 0;
+        std::uint32_t wanted = 0;
     };
     struct account
     {
@@ -85,6 +86,10 @@
         instant last_applied;
         std::deque<report_record> unanswered;
         bool has_news = false;
+        /// Requests since the last report that wait for its answer.
+        std::uint32_t asked = 0;
+        /// The leader has granted less than was wanted: no reserve is asked for until this time.
+        instant tight_until;
         /// Moving average of requests per second, as of `demand_at`.
         double demand = 0;
         instant demand_at;
--- a/src/access/quota_bucket.cpp
+++ b/src/access/quota_bucket.cpp
@@ -17,6 +17,8 @@
 constexpr double usable_part = 0.8;
 /// Level, as a part of the depth, from which each host may hold one credit.
 constexpr double nearly_full = 0.75;
+/// Part of the usable level that must be free for lines that hosts hold in reserve.
+constexpr double plenty = 0.5;
 /// Reports may be overtaken by up to this much, so lines count as outstanding that much longer.
 constexpr milliseconds report_lag{250};
 /// A host without an exchange for this long after the end of its line is taken as cut off: hosts
@@ -130,7 +132,7 @@
     {
         if (due.at < end + silence_limit)
         {
-            checks_.push({end + silence_limit, due.host});
+            checks_.push({due.at + credit_exchange_interval, due.host});
             return;
         }
         charge_remaining(of);
@@ -189,7 +191,12 @@
         of.former_ceiling = of.total;
     if (of.until <= now)
         of.ceiling = of.total;
-    double const wanted = std::min<double>(use.wanted, std::max(1.0, depth_ + usable_excess_));
+    double wanted = std::min<double>(use.wanted, std::max(1.0, depth_ + usable_excess_));
+    // Hosts with few requests ask for one more than they need now. That reserve would mostly expire
+    // unused, so it is granted only while there is plenty.
+    double const usable = usable_level(now);
+    if (wanted <= 2 && usable - outstanding_ < plenty * usable)
+        wanted = std::min(wanted, 1.0);
     wanted_sum_ += wanted - of.wanted;
     of.wanted = wanted;
 
@@ -235,17 +242,20 @@
     }
     grant out;
     out.credit = static_cast<std::uint32_t>(granted);
-    if (granted < of.wanted && !gets_single)
-        out.wait_ms = wait_ms(of, granted, room);
+    if (granted < of.wanted && !gets_single && (is_short || room < granted + 1))
+        out.wait_ms = wait_ms(of, granted, room, usable - level_);
     return out;
 }
 
-std::uint32_t quota_bucket::wait_ms(slot const& of, double granted, double room) const
+std::uint32_t quota_bucket::wait_ms(slot const& of, double granted, double room,
+                                    double excess) const
 {
     double const own_rate = rate_ * of.wanted / std::max(wanted_sum_, of.wanted);
     double const own_wait = (granted >= 1 ? 1 : 1 - of.carry) / own_rate;
     double const common_wait = (1 - (room - granted)) / rate_;
-    double const wait = 1000 * std::max(own_wait, common_wait);
+    // Where the inflow is divided as it comes, the bucket holds about that of one exchange.
+    double const drained = std::max(1.0, rate_ * seconds(credit_exchange_interval) - excess);
+    double const wait = 1000 * (level_ < drained ? std::max(own_wait, common_wait) : common_wait);
     return static_cast<std::uint32_t>(std::clamp(std::ceil(wait), 1.0, max_wait_ms));
 }
 
--- a/src/access/quota_bucket.hpp
+++ b/src/access/quota_bucket.hpp
@@ -112,7 +112,7 @@
     void charge_report(slot& of, report const& use, instant now);
     double usable_level(instant now) const;
     grant decide(slot& of, double room, instant now) const;
-    std::uint32_t wait_ms(slot const& of, double granted, double room) const;
+    std::uint32_t wait_ms(slot const& of, double granted, double room, double excess) const;
 
     quota_settings settings_;
     double rate_;
--- a/test/correctness/access/quota_harness.hpp
+++ b/test/correctness/access/quota_harness.hpp
@@ -1,6 +1,6 @@
 /// \file
-/// Defines quota_harness: entry hosts and a leader that exchange credit over a network with delays
-/// and losses, in steps of 5 ms of simulated time.
+/// Defines quota_harness: entry hosts that exchange credit of one workspace with a leader over a
+/// network with delays and losses, in steps of 5 ms of simulated time.
 #pragma once
 
 #include "access/credit_account.hpp"
@@ -9,64 +9,49 @@
 #include "support.hpp"
 
 #include <algorithm>
+#include <functional>
 #include <map>
 #include <random>
 
 namespace guavashed
 {
 
-inline access_config limits(std::vector<workspace_config> workspaces)
-{
-    access_config out;
-    out.requires_key = true;
-    out.workspaces = std::move(workspaces);
-    return out;
-}
+inline workspace_name const tested_workspace("bakery");
 
-inline workspace_config limited(std::string const& name, double rate, double burst)
+inline access_config limited(double rate, double burst)
 {
-    workspace_config out;
-    out.name = workspace_name(name);
-    out.rate_per_s = rate;
-    out.burst = burst;
+    access_config out;
+    out.workspaces = {{tested_workspace, {}, {}, rate, burst, {}}};
     return out;
 }
 
-class quota_harness
+struct quota_harness
 {
-public:
     struct host
     {
         credit_account account;
-        bool connected = true;
         std::uint64_t life = 1;
         std::uint64_t number = 0;
-        std::map<std::uint64_t, instant> sent;
+        bool connected = true;
         instant last_sent;
-        /// Requests that wait for credit, by the time at which they arrived.
-        std::vector<std::pair<workspace_name, instant>> held;
-    };
-    struct tally
-    {
-        std::vector<instant> admitted;
-        int refused = 0;
-        int timed_out = 0;
-        int asked = 0;
-        double max_hold_ms = 0;
-        double max_wait_ms = 0;
+        std::vector<instant> held; // arrivals of requests that wait for credit
     };
 
-    quota_harness(std::size_t count, access_config access, quota_settings settings,
+    quota_harness(std::size_t count, access_config access, quota_settings of,
                   std::uint64_t seed = 1)
-        : config(std::move(access)), ledger(settings), hosts(count), random(seed)
+        : config(std::move(access)), settings(of), ledger(of), hosts(count), random(seed)
+    {
+        configure(config);
+    }
+    void configure(access_config access)
     {
+        config = std::move(access);
         ledger.configure(config, now);
         for (auto& item : hosts)
             item.account.configure(config);
     }
-
-    /// The successor has seen the configuration but no report.
-    void change_leader(quota_settings settings)
+    /// The successor knows the configuration but no report.
+    void change_leader()
     {
         ledger = quota_ledger(settings);
         ledger.configure(config, now);
@@ -74,125 +59,118 @@
     }
     void restart(host& at)
     {
-        at = {credit_account(), true, at.life + 1, 0, {}, {}, {}};
+        at = {credit_account(), at.life + 1, 0, at.connected, {}, {}};
         at.account.configure(config);
     }
-    /// One request arrives; returns its decision, `unknown` when it is held for an answer.
-    credit_decision request(host& at, workspace_name const& workspace)
+    /// Advances the time, while `per_s` requests arrive, each by the host that `pick` chooses.
+    void run(double seconds, double per_s, std::function<std::size_t()> const& pick)
     {
-        auto const decision = decide(at, workspace, now, false);
-        if (decision.verdict == credit_verdict::unknown)
+        for (instant const end = now + milliseconds(static_cast<int>(seconds * 1000)); now < end;)
         {
-            ++results[workspace].asked;
-            at.held.emplace_back(workspace, now);
+            for (int i = std::poisson_distribution<>(per_s * 0.005)(random); i > 0; --i)
+                decide(hosts[pick()], now, false);
+            now += milliseconds(5);
+            for (; !events.empty() && events.begin()->first <= now; events.erase(events.begin()))
+                events.begin()->second();
+            for (std::size_t i = 0; i < hosts.size(); ++i)
+                exchange(i);
         }
-        return decision;
     }
-    /// Advances the time by 5 ms.
-    void step()
+    void run(double seconds, double per_s)
     {
-        now += milliseconds(5);
-        while (!network.empty() && network.begin()->first <= now)
-        {
-            auto const deliver = std::move(network.begin()->second);
-            network.erase(network.begin());
-            deliver();
-        }
-        for (std::size_t i = 0; i < hosts.size(); ++i)
-            exchange(i);
+        run(seconds, per_s, [this] { return random() % hosts.size(); });
     }
-    /// Largest number of admissions of one workspace in any window.
-    std::size_t most_in_window(workspace_name const& workspace, double window_s)
+    /// Largest number of admissions in any sliding window.
+    std::size_t most_in_window() const
     {
-        auto& times = results[workspace].admitted;
-        std::sort(times.begin(), times.end());
         std::size_t most = 0;
-        for (std::size_t first = 0, last = 0; last < times.size(); ++last)
+        for (auto first = ran.begin(), last = ran.begin(); last != ran.end(); ++last)
         {
-            while (std::chrono::duration<double>(times[last] - times[first]).count() > window_s)
+            while (std::chrono::duration<double>(*last - *first).count() > settings.window_s)
                 ++first;
-            most = std::max(most, last - first + 1);
+            most = std::max(most, static_cast<std::size_t>(last - first + 1));
         }
         return most;
     }
+    double bound() const
+    {
+        auto const& limit = config.workspaces.at(0);
+        return (limit.rate_per_s * settings.window_s + limit.burst) * (1 + settings.overshoot) +
+               settings.slack;
+    }
     double chance() { return std::uniform_real_distribution<>(0, 1)(random); }
 
-    access_config config;
-    quota_ledger ledger;
-    std::vector<host> hosts;
-    std::map<workspace_name, tally> results;
-    instant now = at_ms(0);
-    int min_delay_ms = 5;
-    int max_delay_ms = 60;
-    double loss = 0;
-    /// Part of the admitted requests that are not run and refunded at once.
-    double refunds = 0;
-    std::mt19937_64 random;
-
-private:
     void exchange(std::size_t index)
     {
         host& at = hosts[index];
-        for (auto const waiting = std::exchange(at.held, {});
-             auto const& [workspace, since] : waiting)
-            if (decide(at, workspace, since, true).verdict == credit_verdict::unknown)
-            {
-                if (now - since < milliseconds(250))
-                    at.held.emplace_back(workspace, since);
-                else
-                    ++results[workspace].timed_out;
-            }
+        for (instant const since : std::exchange(at.held, {}))
+            decide(at, since, true);
         auto const pause = now - at.last_sent;
-        bool const is_due = (at.account.is_report_urgent() && pause >= milliseconds(50)) ||
-                            (at.account.has_report(now) && pause >= credit_exchange_interval) ||
-                            pause >= std::chrono::seconds(1);
-        if (!is_due)
+        if (!(pause >= milliseconds(50) && at.account.is_report_urgent()) &&
+            !(pause >= credit_exchange_interval && at.account.has_report(now)) &&
+            pause < std::chrono::seconds(1))
             return;
         at.last_sent = now;
-        lease_request out{host_name(std::to_string(index)), incarnation(at.life), ++at.number,
-                          at.account.take_report(now)};
-        at.sent[out.number] = now;
-        send(index,
-             [this, index, out]
+        lease_request const out{host_name(std::to_string(index)), incarnation(at.life), ++at.number,
+                                at.account.take_report(now)};
+        send(at,
+             [this, &at, out, sent = now]
              {
-                 auto const lines = ledger.exchange(out, now);
-                 send(index,
-                      [this, index, out, lines]
+                 send(at,
+                      [this, &at, out, sent, lines = ledger.exchange(out, now)]
                       {
-                          host& to = hosts[index];
-                          if (to.life == out.life.value())
-                              to.account.apply(lines, to.sent.at(out.number), now);
+                          if (at.life == out.life.value())
+                              at.account.apply(lines, sent, now);
                       });
              });
     }
-    template <class Deliver>
-    void send(std::size_t index, Deliver deliver)
+    void send(host const& at, std::function<void()> deliver)
     {
-        if (!hosts[index].connected || chance() < loss)
-            return;
-        auto const delay = std::uniform_int_distribution<>(min_delay_ms, max_delay_ms)(random);
-        network.emplace(now + milliseconds(delay), std::move(deliver));
+        if (at.connected && chance() >= loss)
+            events.emplace(now + milliseconds(random() % (max_delay_ms + 1)), std::move(deliver));
     }
-    credit_decision decide(host& at, workspace_name const& workspace, instant since, bool is_retry)
+    void decide(host& at, instant since, bool is_retry)
     {
-        auto const decision = at.account.admit(workspace, now, is_retry);
-        tally& result = results[workspace];
-        double const held = std::chrono::duration<double, std::milli>(now - since).count();
+        auto const decision = at.account.admit(tested_workspace, now, is_retry);
+        double const held_ms = std::chrono::duration<double, std::milli>(now - since).count();
+        arrived += !is_retry;
         if (decision.verdict == credit_verdict::admitted)
         {
-            result.max_hold_ms = std::max(result.max_hold_ms, held);
-            if (chance() < refunds)
-                at.account.refund(workspace, now);
-            else
-                result.admitted.push_back(now);
+            longest_hold_ms = std::max(longest_hold_ms, held_ms);
+            if (chance() >= refunds)
+                return ran.push_back(now);
+            events.emplace(now + milliseconds(random() % 500),
+                           [this, &at, life = at.life]
+                           {
+                               if (at.life == life)
+                                   at.account.refund(tested_workspace, now);
+                           });
         }
-        result.refused += decision.verdict == credit_verdict::over_limit;
-        if (decision.verdict == credit_verdict::over_limit)
-            result.max_wait_ms = std::max(result.max_wait_ms, decision.wait_ms);
-        return decision;
+        else if (decision.verdict == credit_verdict::over_limit)
+            waits_ms.push_back(decision.wait_ms);
+        else if (held_ms < 250)
+        {
+            asked += !is_retry;
+            at.held.push_back(since);
+        }
+        else
+            ++timed_out;
     }
 
-    std::multimap<instant, std::function<void()>> network;
+    access_config config;
+    quota_settings settings;
+    quota_ledger ledger;
+    std::vector<host> hosts;
+    std::mt19937_64 random;
+    instant now = at_ms(0);
+    unsigned max_delay_ms = 60;
+    double loss = 0;
+    double refunds = 0; // part of the admitted requests that are not run
+    int arrived = 0, asked = 0, timed_out = 0;
+    double longest_hold_ms = 0;
+    std::vector<double> waits_ms; // told to refused requests
+    std::vector<instant> ran;
+    std::multimap<instant, std::function<void()>> events;
 };
 
 } // namespace guavashed
