Owe the inflow to hosts by demand, and bound single credits by the excess

With ten hosts of equal demand on a limit of 5/s, where one asked six times as often, the level went to whoever asked first: between 1 and 53 of 350 requests per host. The inflow is now owed to hosts by their demand, and credit owed to others isn't granted: 22 to 45.

--- a/src/access/quota_bucket.cpp
+++ b/src/access/quota_bucket.cpp
@@ -24,6 +24,8 @@
 /// A host without an exchange for this long after the end of its line is taken as cut off: hosts
 /// exchange at least once a second.
 constexpr milliseconds silence_limit{1250};
+/// Longest time between two exchanges for which inflow is owed to a host.
+constexpr milliseconds max_accrual{1000};
 constexpr double max_wait_ms = 60'000;
 
 double seconds(instant::duration span)
@@ -47,7 +49,7 @@
 quota_bucket::quota_bucket(quota_settings settings, double rate, double burst, double level,
                            instant now)
     : settings_(settings), rate_(rate), burst_(burst), level_(level), refilled_(now),
-      singles_from_(now), excess_from_(now)
+      excess_from_(now)
 {
     set_limit(rate, burst, now, {});
 }
@@ -72,12 +74,12 @@
     checks_ = {};
     outstanding_ = 0;
     wanted_sum_ = 0;
+    owed_ = 0;
     level_ = 0;
     refilled_ = std::max(refilled_, now);
-    singles_from_ = now + credit_lifetime + report_lag;
     // The former leader may have used the excess up to now. A window that begins before this term
     // must not contain the excess twice.
-    excess_from_ = after(singles_from_, settings_.window_s);
+    excess_from_ = after(now + credit_lifetime + report_lag, settings_.window_s);
 }
 
 void quota_bucket::refill(instant now)
@@ -139,7 +141,10 @@
     }
     // An exchange that doesn't name the workspace shows that its total has not changed.
     outstanding_ -= of.remaining();
+    owed_ -= of.carry;
     slots_.erase(found);
+    if (slots_.empty())
+        owed_ = 0; // drops rounding errors
 }
 
 void quota_bucket::charge_report(slot& of, report const& use, instant now)
@@ -169,6 +174,7 @@
     if (is_first)
         checks_.push({now + credit_lifetime + report_lag, use.host});
     outstanding_ -= of.remaining();
+    owed_ -= of.carry;
     if (!is_first && of.life != use.life)
     {
         // Nobody will report what the former process spent. The total of the new one is charged.
@@ -212,6 +218,7 @@
     of.reported = now;
     of.has_reported = true;
     outstanding_ += of.remaining();
+    owed_ += of.carry;
     return out;
 }
 
@@ -219,22 +226,28 @@
 {
     double const usable = usable_level(now);
     bool const is_short = wanted_sum_ > usable;
+    double const unowed = room - of.remaining() - owed_ - of.carry;
     double target = of.wanted;
     if (is_short)
     {
-        // Shares of the usable level follow demand. A host that asks more often than usual gets the
-        // same inflow as the others.
-        double const share = std::max(usable, 0.0) * of.wanted / std::max(wanted_sum_, 1.0);
+        // The inflow is owed to the hosts in proportion to their demand, and the rest of the level
+        // within one interval. Hosts that ask more often than others get no more by it.
         double const interval = seconds(credit_exchange_interval);
-        double const elapsed = of.has_reported ? seconds(now - of.reported) : interval;
+        double const elapsed =
+            of.has_reported ? seconds(std::min<instant::duration>(now - of.reported, max_accrual))
+                            : interval;
+        double const share = of.wanted / std::max(wanted_sum_, 1.0);
+        double const gained =
+            share * (rate_ * elapsed + std::max(unowed, 0.0) * std::min(1.0, elapsed / interval));
         double const held = static_cast<double>(std::max(of.ceiling - of.total, std::int64_t{0}));
-        double const gained = of.carry + share * std::min(1.0, elapsed / interval);
-        target = std::min({held + gained, std::max(share, 1.0), of.wanted});
+        target = std::min(held + of.carry + gained, of.wanted);
     }
     double granted = std::max(0.0, std::floor(std::min(target, room)));
     of.carry = is_short ? std::clamp(target - granted, 0.0, 1.0) : 0;
-    bool const holds_token = level_ >= 1 && room >= 1;
-    bool const gets_single = level_ >= nearly_full * depth_ && now >= singles_from_;
+    bool const holds_token = level_ >= 1 && unowed >= 1;
+    // A single credit may use the rest of the excess, so the bound holds for any arrivals.
+    double const reserve = now >= excess_from_ ? usable_excess_ * (1 / usable_part - 1) : 0;
+    bool const gets_single = level_ >= nearly_full * depth_ && room + reserve >= 1;
     if (granted < 1 && of.wanted >= 1 && (holds_token || gets_single))
     {
         granted = 1;
@@ -253,8 +266,10 @@
     double const own_rate = rate_ * of.wanted / std::max(wanted_sum_, of.wanted);
     double const own_wait = (granted >= 1 ? 1 : 1 - of.carry) / own_rate;
     double const common_wait = (1 - (room - granted)) / rate_;
-    // Where the inflow is divided as it comes, the bucket holds about that of one exchange.
-    double const drained = std::max(1.0, rate_ * seconds(credit_exchange_interval) - excess);
+    // Where the inflow is divided as it comes, the bucket holds about that of one exchange
+    // and what is owed.
+    double const drained =
+        std::max(1.0, rate_ * seconds(credit_exchange_interval) + owed_ - excess);
     double const wait = 1000 * (level_ < drained ? std::max(own_wait, common_wait) : common_wait);
     return static_cast<std::uint32_t>(std::clamp(std::ceil(wait), 1.0, max_wait_ms));
 }
--- a/src/access/quota_bucket.hpp
+++ b/src/access/quota_bucket.hpp
@@ -88,7 +88,7 @@
         std::int64_t former_ceiling = 0;
         instant former_until;
         double wanted = 0;
-        /// Fraction of a credit that past exchanges left, so that small shares add up.
+        /// Part of a credit that is owed to the host, so that small shares add up.
         double carry = 0;
         /// Recent charges, which bound what may be refunded.
         double refundable = 0;
@@ -122,9 +122,9 @@
     double level_ = 0;
     double outstanding_ = 0;
     double wanted_sum_ = 0;
+    double owed_ = 0;
     double charged_unreported_ = 0;
     instant refilled_;
-    instant singles_from_;
     instant excess_from_;
     std::unordered_map<quota_host_index, slot> slots_;
     std::priority_queue<check, std::vector<check>, std::greater<>> checks_;
--- a/test/correctness/access/quota_ledger_test.cpp
+++ b/test/correctness/access/quota_ledger_test.cpp
@@ -2,6 +2,8 @@
 #include "access/quota_ledger.hpp"
 #include "support.hpp"
 
+#include <algorithm>
+#include <array>
 #include <catch2/catch.hpp>
 
 using namespace guavashed;
@@ -114,6 +116,17 @@
             CHECK(lead.bucket().level() >= -600);
         }
     }
+    SECTION("ten hosts share five requests per second; one asks six times as often as the others")
+    {
+        lead.ledger.configure(limit(5, 5), at_ms(0));
+        std::array<std::int64_t, 10> spent{};
+        for (int ms = 0; ms < 60'000; ms += 50)
+            for (std::size_t host = 0; host < spent.size(); ++host)
+                if (host == 0 || ms % 300 == 0)
+                    spent[host] += lead.report(std::to_string(host), spent[host], 3, ms);
+        CHECK(*std::min_element(spent.begin(), spent.end()) >= 22);
+        CHECK(*std::max_element(spent.begin(), spent.end()) <= 45);
+    }
     SECTION("a total of an unknown host is a baseline")
     {
         CHECK(lead.report("a", 1'000, 10, 0) == 10);
