--- a/src/access/quota_bucket.cpp
+++ b/src/access/quota_bucket.cpp
@@ -15,6 +15,9 @@
 /// Part of the tolerated excess that lines may use; the rest covers messages that arrive late and
 /// refunds of requests admitted before the window.
 constexpr double usable_part = 0.8;
+/// Part that lines may use in the first window of a term, beside the former leader's. Without it, a
+/// workspace of a few requests per second has an empty bucket for seconds after a change.
+constexpr double early_part = 0.1;
 /// Level, as a part of the depth, from which each host may hold one credit.
 constexpr double nearly_full = 0.75;
 /// Part of the usable level that must be free for lines that hosts hold in reserve.
@@ -49,7 +52,7 @@
 quota_bucket::quota_bucket(quota_settings settings, double rate, double burst, double level,
                            instant now)
     : settings_(settings), rate_(rate), burst_(burst), level_(level), refilled_(now),
-      excess_from_(now)
+      lines_expired_(now), excess_from_(now)
 {
     set_limit(rate, burst, now, {});
 }
@@ -77,9 +80,10 @@
     owed_ = 0;
     level_ = 0;
     refilled_ = std::max(refilled_, now);
+    lines_expired_ = now + credit_lifetime + report_lag;
     // The former leader may have used the excess up to now. A window that begins before this term
     // must not contain the excess twice.
-    excess_from_ = after(now + credit_lifetime + report_lag, settings_.window_s);
+    excess_from_ = after(lines_expired_, settings_.window_s);
 }
 
 void quota_bucket::refill(instant now)
@@ -162,7 +166,9 @@
 
 double quota_bucket::usable_level(instant now) const
 {
-    return level_ + (now >= excess_from_ ? usable_excess_ : 0);
+    if (now >= excess_from_)
+        return level_ + usable_excess_;
+    return level_ + (now >= lines_expired_ ? early_part / usable_part * usable_excess_ : 0);
 }
 
 quota_bucket::grant quota_bucket::exchange(report const& use, instant now,
--- a/src/access/quota_bucket.hpp
+++ b/src/access/quota_bucket.hpp
@@ -125,6 +125,7 @@
     double owed_ = 0;
     double charged_unreported_ = 0;
     instant refilled_;
+    instant lines_expired_;
     instant excess_from_;
     std::unordered_map<quota_host_index, slot> slots_;
     std::priority_queue<check, std::vector<check>, std::greater<>> checks_;
