Grant reserves only while there is plenty, also to hosts that ask again

A report without waiting requests asked for one credit, as did a waiting request at a host that had been granted too little, so the leader couldn't tell them apart and idle lines used up small buckets.

--- a/src/access/credit_account.cpp
+++ b/src/access/credit_account.cpp
@@ -56,9 +56,9 @@
     double const rate = demand_per_s(now);
     double const expected = rate * wanted_span_s;
     if (now < tight_until)
-        return std::max(static_cast<std::uint32_t>(expected), asked);
+        return std::max(static_cast<std::uint32_t>(expected), asked > 0 ? asked + 1 : 0);
     if (rate > steady_demand)
-        return std::max({static_cast<std::uint32_t>(std::ceil(expected)), asked, 2U});
+        return std::max(static_cast<std::uint32_t>(std::ceil(expected)), asked + 1);
     if (asked > 0)
         return asked + 1;
     return rate >= least_demand ? 1 : 0;
--- a/src/access/quota_bucket.cpp
+++ b/src/access/quota_bucket.cpp
@@ -204,11 +204,10 @@
     if (of.until <= now)
         of.ceiling = of.total;
     double wanted = std::min<double>(use.wanted, std::max(1.0, depth_ + usable_excess_));
-    // Hosts with few requests ask for one more than they need now. That reserve would mostly expire
-    // unused, so it is granted only while there is plenty.
+    // The last of two is a reserve: nobody waits for it, and it would mostly expire unused.
     double const usable = usable_level(now);
     if (wanted <= 2 && usable - outstanding_ < plenty * usable)
-        wanted = std::min(wanted, 1.0);
+        wanted = std::max(wanted - 1, 0.0);
     wanted_sum_ += wanted - of.wanted;
     of.wanted = wanted;
 
