Grant what is wanted where the leader knows of no limit

An entry host that has not yet received the removal of a limit asked for credit in vain, and its callers would have got 503 until its next view.

--- a/src/access/quota_ledger.cpp
+++ b/src/access/quota_ledger.cpp
@@ -14,6 +14,9 @@
 /// rest of the time keeps restarts and late messages of a host recognisable.
 constexpr std::chrono::seconds host_retention{60};
 
+/// Credit for a workspace without a limit; bounds what a corrupt request gets.
+constexpr std::uint32_t max_unlimited_credit = 10'000;
+
 } // namespace
 
 quota_ledger::quota_ledger(quota_settings settings) : settings_(settings) {}
@@ -126,7 +129,11 @@
     {
         auto const found = buckets_.find(use.workspace);
         if (found == buckets_.end())
+        {
+            // The host will learn from its next view that the limit was removed.
+            out.push_back({use.workspace, std::min(use.wanted, max_unlimited_credit), 0});
             continue;
+        }
         auto const granted = found->second.exchange(
             {host->index, host->life, use.admitted_total, use.wanted}, now, activity);
         out.push_back({use.workspace, granted.credit, granted.wait_ms});
--- a/src/access/quota_ledger.hpp
+++ b/src/access/quota_ledger.hpp
@@ -33,8 +33,10 @@
     /// host is elected again. A leader that has not applied all committed entries must configure
     /// before its first exchange.
     void begin_term(instant now);
-    /// Charges the uses that the host reports, and returns its new credit lines: one for each
-    /// reported workspace with a limit. Requests of an earlier life, and those that are repeated or
+    /// Charges the uses that the host reports, and returns its new credit lines, one for each
+    /// reported workspace. One without a limit here gets what is wanted, since the host only has
+    /// yet to learn that its limit was removed. Precondition: configured with all changes that any
+    /// host may know. Requests of an earlier life, and those that are repeated or
     /// were overtaken by a later one, are not charged and get no lines.
     std::vector<credit_line> exchange(lease_request const& request, instant now);
 
--- a/test/correctness/access/quota_ledger_test.cpp
+++ b/test/correctness/access/quota_ledger_test.cpp
@@ -165,6 +165,11 @@
         lead.report("a", 0, 1, 50);
         CHECK(lead.bucket().level() == Approx(30));
     }
+    SECTION("a host that has not learnt of the removal of a limit gets what it wants")
+    {
+        lead.ledger.configure({}, at_ms(0));
+        CHECK(lead.report("a", 0, 300, 0) == 300);
+    }
 }
 
 // Guards against memory that grows with hosts and workspaces that were used long ago.
