--- a/test/correctness/access/quota_harness.hpp
+++ b/test/correctness/access/quota_harness.hpp
@@ -1,6 +1,6 @@
 /// \file
-/// Defines quota_harness: entry hosts and a leader that exchange credit over a network with delays
-/// and losses, in steps of 5 ms of simulated time.
+/// Defines quota_harness: entry hosts that exchange credit of one workspace with a leader over a
+/// network with delays and losses, in steps of 5 ms of simulated time.
 #pragma once
 
 #include "access/credit_account.hpp"
@@ -9,64 +9,49 @@
 #include "support.hpp"
 
 #include <algorithm>
+#include <functional>
 #include <map>
+#include <memory>
 #include <random>
 
 namespace guavashed
 {
 
-inline access_config limits(std::vector<workspace_config> workspaces)
-{
-    access_config out;
-    out.requires_key = true;
-    out.workspaces = std::move(workspaces);
-    return out;
-}
+inline workspace_name const tested_workspace("bakery");
 
-inline workspace_config limited(std::string const& name, double rate, double burst)
+inline access_config limited(double rate, double burst)
 {
-    workspace_config out;
-    out.name = workspace_name(name);
-    out.rate_per_s = rate;
-    out.burst = burst;
+    access_config out;
+    out.workspaces = {{tested_workspace, {}, {}, rate, burst, {}}};
     return out;
 }
 
-class quota_harness
+struct quota_harness
 {
-public:
     struct host
     {
-        credit_account account;
+        std::shared_ptr<credit_account> account = std::make_shared<credit_account>();
+        std::uint64_t life = 1, number = 0;
         bool connected = true;
-        std::uint64_t life = 1;
-        std::uint64_t number = 0;
-        std::map<std::uint64_t, instant> sent;
         instant last_sent;
-        /// Requests that wait for credit, by the time at which they arrived.
-        std::vector<std::pair<workspace_name, instant>> held;
-    };
-    struct tally
-    {
-        std::vector<instant> admitted;
-        int refused = 0;
-        int timed_out = 0;
-        int asked = 0;
-        double max_hold_ms = 0;
-        double max_wait_ms = 0;
+        std::vector<instant> held; // arrivals of requests that wait for credit
     };
 
-    quota_harness(std::size_t count, access_config access, quota_settings settings,
+    quota_harness(std::size_t count, access_config const& access, quota_settings of,
                   std::uint64_t seed = 1)
-        : config(std::move(access)), ledger(settings), hosts(count), random(seed)
+        : settings(of), ledger(of), hosts(count), random(seed)
     {
+        configure(access);
+    }
+    void configure(access_config const& access)
+    {
+        config = access;
         ledger.configure(config, now);
         for (auto& item : hosts)
-            item.account.configure(config);
+            item.account->configure(config);
     }
-
-    /// The successor has seen the configuration but no report.
-    void change_leader(quota_settings settings)
+    /// The successor knows the configuration but no report.
+    void change_leader()
     {
         ledger = quota_ledger(settings);
         ledger.configure(config, now);
@@ -74,125 +59,106 @@
     }
     void restart(host& at)
     {
-        at = {credit_account(), true, at.life + 1, 0, {}, {}, {}};
-        at.account.configure(config);
+        at.account = std::make_shared<credit_account>();
+        at.account->configure(config);
+        ++at.life;
+        at.held.clear();
     }
-    /// One request arrives; returns its decision, `unknown` when it is held for an answer.
-    credit_decision request(host& at, workspace_name const& workspace)
+    /// Advances the time, while `per_s` requests arrive, each by the host that `pick` chooses.
+    void run(double seconds, double per_s, std::function<std::size_t()> const& pick)
     {
-        auto const decision = decide(at, workspace, now, false);
-        if (decision.verdict == credit_verdict::unknown)
+        for (instant const end = now + milliseconds(static_cast<int>(seconds * 1000)); now < end;)
         {
-            ++results[workspace].asked;
-            at.held.emplace_back(workspace, now);
+            for (int i = std::poisson_distribution<>(per_s * 0.005)(random); i > 0; --i)
+                decide(hosts[pick()], now, false);
+            now += milliseconds(5);
+            for (; !events.empty() && events.begin()->first <= now; events.erase(events.begin()))
+                events.begin()->second();
+            for (auto& item : hosts)
+                exchange(item);
         }
-        return decision;
     }
-    /// Advances the time by 5 ms.
-    void step()
+    void run(double seconds, double per_s)
     {
-        now += milliseconds(5);
-        while (!network.empty() && network.begin()->first <= now)
-        {
-            auto const deliver = std::move(network.begin()->second);
-            network.erase(network.begin());
-            deliver();
-        }
-        for (std::size_t i = 0; i < hosts.size(); ++i)
-            exchange(i);
+        run(seconds, per_s, [this] { return random() % hosts.size(); });
     }
-    /// Largest number of admissions of one workspace in any window.
-    std::size_t most_in_window(workspace_name const& workspace, double window_s)
+    /// Largest number of admissions in any sliding window.
+    std::size_t most_in_window() const
     {
-        auto& times = results[workspace].admitted;
-        std::sort(times.begin(), times.end());
         std::size_t most = 0;
-        for (std::size_t first = 0, last = 0; last < times.size(); ++last)
+        for (auto first = ran.begin(), last = ran.begin(); last != ran.end(); ++last)
         {
-            while (std::chrono::duration<double>(times[last] - times[first]).count() > window_s)
+            while (std::chrono::duration<double>(*last - *first).count() > settings.window_s)
                 ++first;
-            most = std::max(most, last - first + 1);
+            most = std::max(most, static_cast<std::size_t>(last - first + 1));
         }
         return most;
     }
+    double bound() const
+    {
+        auto const& limit = config.workspaces.at(0);
+        return (limit.rate_per_s * settings.window_s + limit.burst) * (1 + settings.overshoot) +
+               settings.slack;
+    }
     double chance() { return std::uniform_real_distribution<>(0, 1)(random); }
 
-    access_config config;
-    quota_ledger ledger;
-    std::vector<host> hosts;
-    std::map<workspace_name, tally> results;
-    instant now = at_ms(0);
-    int min_delay_ms = 5;
-    int max_delay_ms = 60;
-    double loss = 0;
-    /// Part of the admitted requests that are not run and refunded at once.
-    double refunds = 0;
-    std::mt19937_64 random;
-
-private:
-    void exchange(std::size_t index)
+    void exchange(host& at)
     {
-        host& at = hosts[index];
-        for (auto const waiting = std::exchange(at.held, {});
-             auto const& [workspace, since] : waiting)
-            if (decide(at, workspace, since, true).verdict == credit_verdict::unknown)
-            {
-                if (now - since < milliseconds(250))
-                    at.held.emplace_back(workspace, since);
-                else
-                    ++results[workspace].timed_out;
-            }
+        for (instant const since : std::exchange(at.held, {}))
+            decide(at, since, true);
         auto const pause = now - at.last_sent;
-        bool const is_due = (at.account.is_report_urgent() && pause >= milliseconds(50)) ||
-                            (at.account.has_report(now) && pause >= credit_exchange_interval) ||
-                            pause >= std::chrono::seconds(1);
-        if (!is_due)
+        if (!(pause >= milliseconds(50) && at.account->is_report_urgent()) &&
+            !(pause >= credit_exchange_interval && at.account->has_report(now)) &&
+            pause < std::chrono::seconds(1))
             return;
         at.last_sent = now;
-        lease_request out{host_name(std::to_string(index)), incarnation(at.life), ++at.number,
-                          at.account.take_report(now)};
-        at.sent[out.number] = now;
-        send(index,
-             [this, index, out]
-             {
-                 auto const lines = ledger.exchange(out, now);
-                 send(index,
-                      [this, index, out, lines]
-                      {
-                          host& to = hosts[index];
-                          if (to.life == out.life.value())
-                              to.account.apply(lines, to.sent.at(out.number), now);
-                      });
-             });
+        lease_request const out{host_name(std::to_string(&at - hosts.data())), incarnation(at.life),
+                                ++at.number, at.account->take_report(now)};
+        auto const answer = [this, &at, account = at.account, out, sent = now]
+        {
+            auto const lines = ledger.exchange(out, now);
+            send(at, [this, account, sent, lines] { account->apply(lines, sent, now); });
+        };
+        send(at, answer);
     }
-    template <class Deliver>
-    void send(std::size_t index, Deliver deliver)
+    void send(host const& at, std::function<void()> deliver)
     {
-        if (!hosts[index].connected || chance() < loss)
-            return;
-        auto const delay = std::uniform_int_distribution<>(min_delay_ms, max_delay_ms)(random);
-        network.emplace(now + milliseconds(delay), std::move(deliver));
+        if (at.connected && chance() >= loss)
+            events.emplace(now + milliseconds(random() % (max_delay_ms + 1)), std::move(deliver));
     }
-    credit_decision decide(host& at, workspace_name const& workspace, instant since, bool is_retry)
+    void decide(host& at, instant since, bool is_retry)
     {
-        auto const decision = at.account.admit(workspace, now, is_retry);
-        tally& result = results[workspace];
-        double const held = std::chrono::duration<double, std::milli>(now - since).count();
-        if (decision.verdict == credit_verdict::admitted)
-        {
-            result.max_hold_ms = std::max(result.max_hold_ms, held);
-            if (chance() < refunds)
-                at.account.refund(workspace, now);
-            else
-                result.admitted.push_back(now);
-        }
-        result.refused += decision.verdict == credit_verdict::over_limit;
-        if (decision.verdict == credit_verdict::over_limit)
-            result.max_wait_ms = std::max(result.max_wait_ms, decision.wait_ms);
-        return decision;
+        auto const verdict = at.account->admit(tested_workspace, now, is_retry).verdict;
+        double const held_ms = std::chrono::duration<double, std::milli>(now - since).count();
+        bool const may_wait = verdict == credit_verdict::unknown && held_ms < 250;
+        arrived += !is_retry;
+        asked += may_wait && !is_retry;
+        refused += verdict == credit_verdict::over_limit;
+        timed_out += verdict == credit_verdict::unknown && !may_wait;
+        if (may_wait)
+            at.held.push_back(since);
+        if (verdict != credit_verdict::admitted)
+            return;
+        held_sum_ms += held_ms;
+        if (chance() >= refunds)
+            ran.push_back(now);
+        else
+            events.emplace(now + milliseconds(random() % 500), [this, account = at.account]
+                           { account->refund(tested_workspace, now); });
     }
 
-    std::multimap<instant, std::function<void()>> network;
+    access_config config;
+    quota_settings settings;
+    quota_ledger ledger;
+    std::vector<host> hosts;
+    std::mt19937_64 random;
+    instant now = at_ms(0);
+    unsigned max_delay_ms = 60;
+    double loss = 0, refunds = 0; // parts of the messages, and of the admitted requests
+    int arrived = 0, refused = 0, asked = 0, timed_out = 0;
+    double held_sum_ms = 0;
+    std::vector<instant> ran;
+    std::multimap<instant, std::function<void()>> events;
 };
 
 } // namespace guavashed
