Keep all lease requests that wait for the leader's state, in their order

A later request of a host replaced its waiting one, and with it the credit that only the earlier one asked for: a report names a workspace again only when something changed. Changes of the asked control host are logged for the first 3 s of an outage only, since all are asked in turn from then on.

--- a/src/access/access_lease.cpp
+++ b/src/access/access_lease.cpp
@@ -27,6 +27,8 @@
 /// A forwarded exchange between regions takes two round trips of 110 ms; this allows for a busy
 /// host on the way, and is below the time of an election.
 constexpr milliseconds answer_timeout{700};
+/// Changes of the target that are logged in one outage.
+constexpr milliseconds max_logged_outage{3000};
 /// Requests of about three seconds at the shortest interval.
 constexpr std::size_t max_unanswered = 64;
 /// Grants that wait for the view; more than arrive in 5 s at the usual interval.
@@ -119,6 +121,9 @@
     if (target_ != before)
     {
         waiting_since_.reset();
+        // While there is no leader, all control hosts are asked in turn.
+        if (is_silent && outage_since_ && now >= *outage_since_ + max_logged_outage)
+            return target_;
         log_change(log_level::info, "lease_target",
                    "control=" + target_.value() + " before=" + before.value() +
                        " reason=" + (is_silent ? "unanswered" : "session"));
--- a/src/fleet/registry_leases.cpp
+++ b/src/fleet/registry_leases.cpp
@@ -17,6 +17,8 @@
 constexpr milliseconds max_wait_for_apply{400};
 /// Above the number of entry hosts of any deployment (docs/CAPACITY.md).
 constexpr std::size_t max_routes = 4096;
+/// Urgent requests of 0.4 s at 1,000 hosts.
+constexpr std::size_t max_waiting = 2048;
 
 } // namespace
 
@@ -52,10 +54,10 @@
         return forward_lease_request(session, message, now);
     if (may_grant_leases(now))
         return grant_lease(session, message, now);
-    // A newer request of the host replaces its waiting one.
-    host_name const host = message.host;
-    if (waiting_leases_.size() < max_routes || waiting_leases_.contains(host))
-        waiting_leases_[host] = {session, std::move(message), now + max_wait_for_apply};
+    // All of them, in their order: a later request of a host does not ask again for what an earlier
+    // one asked for.
+    if (waiting_leases_.size() < max_waiting)
+        waiting_leases_.push_back({session, std::move(message), now + max_wait_for_apply});
 }
 
 void registry_node::grant_lease(frame_session_ptr const& session, lease_request const& message,
@@ -85,11 +87,11 @@
         return;
     if (may_grant_leases(now))
     {
-        for (auto const& [host, waiting] : std::exchange(waiting_leases_, {}))
+        for (auto const& waiting : std::exchange(waiting_leases_, {}))
             grant_lease(waiting.session, waiting.request, now);
         return;
     }
-    std::erase_if(waiting_leases_, [now](auto const& item) { return item.second.until <= now; });
+    std::erase_if(waiting_leases_, [now](auto const& item) { return item.until <= now; });
 }
 
 void registry_node::forward_lease_request(frame_session_ptr const& session,
--- a/src/fleet/registry_node.hpp
+++ b/src/fleet/registry_node.hpp
@@ -14,6 +14,7 @@
 #include "transport/frame_link.hpp"
 #include "transport/http_server.hpp"
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -224,7 +225,7 @@
     /// What `quota_ledger_` was last configured with, and the term that it was begun for.
     log_index quota_access_changed_;
     log_term quota_term_;
-    std::map<host_name, waiting_lease> waiting_leases_;
+    std::deque<waiting_lease> waiting_leases_;
     std::map<host_name, lease_route> lease_routes_;
     ticket_source tickets_;
     std::uint64_t last_read_ = 0;
