--- a/test/correctness/access/quota_test.cpp
+++ b/test/correctness/access/quota_test.cpp
@@ -70,6 +70,14 @@
         fleet.run(10, 7'160);
         CHECK(fleet.most_in_window() <= fleet.bound());
     }
+    SECTION("the leader changes in a pause before the flood, and lines of the former are unspent")
+    {
+        fleet.run(5, 805);
+        fleet.change_leader();
+        fleet.run(1.1, 0);
+        fleet.run(10, 7'160);
+        CHECK(fleet.most_in_window() <= fleet.bound());
+    }
     SECTION("a limit that is lowered holds one window after the change")
     {
         fleet.run(2, 1'790);
