--- a/test/correctness/access/quota_ledger_test.cpp
+++ b/test/correctness/access/quota_ledger_test.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <array>
 #include <catch2/catch.hpp>
+#include <limits>
 
 using namespace guavashed;
 
@@ -112,6 +113,9 @@
             lead.report("b", 1'050, 0, 0);
             lead.report("a", -1'000'000, 0, 0);
             CHECK(lead.bucket().level() == Approx(50));
+            lead.report("c", 500, 0, 0);
+            lead.report("c", 0, 0, 0);
+            CHECK(lead.bucket().level() == Approx(50));
             lead.report("a", std::numeric_limits<std::int64_t>::max(), 0, 0);
             CHECK(lead.bucket().level() >= -600);
         }
