--- a/test/correctness/fleet/lease_test.cpp
+++ b/test/correctness/fleet/lease_test.cpp
@@ -5,6 +5,7 @@
 #include <atomic>
 #include <catch2/catch.hpp>
 #include <csignal>
+#include <map>
 #include <thread>
 
 using namespace fleet_test;
@@ -235,3 +236,27 @@
     pause_ms(500);
     CHECK(fleet.log_of("e0").find("outcome=over_limit") != std::string::npos);
 }
+
+// Guards against requests that use up a limit although no upstream ran them: their callers come
+// back and would be refused for the limit.
+SCENARIO("requests that no upstream ran use up no credit")
+{
+    auto options = options_of("refunds", 25400);
+    options.entries = 1;
+    options.tenants = R"({"crown":{"api_keys":["key-one"],"rate_per_s":5,"burst":5}})";
+    options.extra_bounds = ",quota_window_s=2,quota_overshoot=0.1,quota_slack=20";
+    options.shed_share = 1;
+    platform_fleet fleet(options);
+    REQUIRE(fleet.start());
+
+    // Twice as many as the limit admits in that time, excess included.
+    std::map<unsigned, unsigned> statuses;
+    for (unsigned i = 0; i < 100; ++i)
+    {
+        ++statuses[status_of(ask(fleet, 0, "/check/1", "key-one"))];
+        pause_ms(20);
+    }
+    for (auto const& [status, count] : statuses)
+        UNSCOPED_INFO("status " << status << ": " << count);
+    CHECK(statuses[503] == 100);
+}
