--- a/src/access/quota_bucket.cpp
+++ b/src/access/quota_bucket.cpp
@@ -18,10 +18,12 @@
 /// Part that lines may use in the first window of a term, beside the former leader's. Without it, a
 /// workspace of a few requests per second has an empty bucket for seconds after a change.
 constexpr double early_part = 0.1;
+/// Part of the depth that a bucket holds while lines of the former leader may be in use.
+constexpr double early_depth = 0.25;
 /// Level, as a part of the depth, from which each host may hold one credit.
 constexpr double nearly_full = 0.75;
 /// Part of the usable level that must be free for lines that hosts hold in reserve.
-constexpr double plenty = 0.5;
+constexpr double plenty = 0.25;
 /// Reports may be overtaken by up to this much, so lines count as outstanding that much longer.
 constexpr milliseconds report_lag{250};
 /// A host without an exchange for this long after the end of its line is taken as cut off: hosts
@@ -90,7 +92,9 @@
 {
     if (now <= refilled_)
         return;
-    level_ = std::min(depth_, level_ + rate_ * seconds(now - refilled_));
+    // While the former leader's lines may be in use, the inflow is not saved up: it would add to them.
+    double const most = now < lines_expired_ ? std::max(1.0, depth_ * early_depth) : depth_;
+    level_ = std::min(most, level_ + rate_ * seconds(now - refilled_));
     refilled_ = now;
 }
 
