Ask for a lease every 300 ms, so that a host cut off for 3 s can connect again in time

With 500 ms, 4,230 ms of the lease were left at a loss of contact in the worst case, and a new session after an outage of 3,000 ms takes up to 1,700 ms. 4,430 ms are left now, worked out; a host exchanges 0.63 kB/s for it at 68 hosts.

access_lease_test: 70 assertions pass; lease_test and cut_off_entry_test pass.

--- a/src/access/access_lease.cpp
+++ b/src/access/access_lease.cpp
@@ -14,9 +14,9 @@
 constexpr milliseconds min_urgent_interval{50};
 /// The same while requests stay unanswered: the group may be electing a leader.
 constexpr milliseconds unanswered_urgent_interval{150};
-/// Half of the required second: a host that loses contact right before its next request has as much
-/// of its lease left for connecting again.
-constexpr milliseconds min_idle_interval{500};
+/// Below the required second: a host that loses contact right before its next request has as much
+/// more of its lease left for connecting again.
+constexpr milliseconds min_idle_interval{300};
 constexpr milliseconds min_report_interval{300};
 constexpr milliseconds max_interval{1000};
 /// The leader handles at most 500 idle requests, 1,000 reports and 5,000 urgent requests a second
--- a/test/correctness/access/access_lease_test.cpp
+++ b/test/correctness/access/access_lease_test.cpp
@@ -133,6 +133,8 @@
     entry host;
     host.lease.accept(host.ask(), host.now);
 
+    CHECK(host.until_next() == milliseconds(300));
+    host.need.entry_hosts = 250;
     CHECK(host.until_next() == milliseconds(500));
     host.need.has_uses = true;
     CHECK(host.until_next() == milliseconds(300));
