--- a/src/access/quota_bucket.cpp
+++ b/src/access/quota_bucket.cpp
@@ -31,6 +31,12 @@
 constexpr milliseconds max_accrual{1000};
 constexpr double max_wait_ms = 60'000;
 
+/// Bounds what a corrupt report may hold, so that ceilings don't overflow.
+std::int64_t plausible_total(quota_bucket::report const& use)
+{
+    return std::clamp(use.total, std::int64_t{0}, std::int64_t{1} << 53);
+}
+
 double seconds(instant::duration span)
 {
     return std::chrono::duration<double>(span).count();
@@ -153,7 +159,7 @@
 
 void quota_bucket::charge_report(slot& of, report const& use, instant now)
 {
-    std::int64_t const total = std::max<std::int64_t>(use.total, 0);
+    std::int64_t const total = plausible_total(use);
     double const elapsed = seconds(now - of.reported);
     of.refundable *= std::exp(-elapsed / std::max(settings_.window_s, 1.0));
     // A correct host admits no more than its line and refunds no more than it admitted.
@@ -196,7 +202,7 @@
         // but by lines of the former leader, which the first 1.5 s of the term leave room for.
         of.life = use.life;
         of.reported = now;
-        of.total = of.ceiling = of.former_ceiling = std::max<std::int64_t>(use.total, 0);
+        of.total = of.ceiling = of.former_ceiling = plausible_total(use);
     }
     charge_report(of, use, now);
     if (of.former_until <= now)
--- a/test/correctness/access/quota_ledger_test.cpp
+++ b/test/correctness/access/quota_ledger_test.cpp
@@ -116,7 +116,8 @@
             lead.report("c", 500, 0, 0);
             lead.report("c", 0, 0, 0);
             CHECK(lead.bucket().level() == Approx(50));
-            lead.report("a", std::numeric_limits<std::int64_t>::max(), 0, 0);
+            lead.report("d", std::numeric_limits<std::int64_t>::max(), 9, 0);
+            lead.report("a", std::numeric_limits<std::int64_t>::max(), 9, 0);
             CHECK(lead.bucket().level() >= -600);
         }
     }
