--- a/src/access/credit_times.hpp
+++ b/src/access/credit_times.hpp
@@ -8,10 +8,9 @@
 {
 
 /// An entry host spends a credit line for at most this long after it sent the request that the line
-/// answers. A caller waits for a round trip to the leader where a host holds no credit, so it covers
-/// the time between two requests of a workspace that sends one request every few seconds to each
-/// host. Credit held by hosts without requests becomes available to others afterwards.
-inline constexpr milliseconds credit_lifetime{4000};
+/// answers. Longer than the longest time between two exchanges (1 s), so that steady use keeps its
+/// credit; short, so that credit held by hosts without requests soon becomes available to others.
+inline constexpr milliseconds credit_lifetime{1500};
 
 /// Taken off the lifetime on entry hosts, for clock drift and the time to send an admitted request.
 inline constexpr milliseconds credit_margin{50};
--- a/src/access/quota_bucket.cpp
+++ b/src/access/quota_bucket.cpp
@@ -18,8 +18,6 @@
 /// Part that lines may use in the first window of a term, beside the former leader's. Without it, a
 /// workspace of a few requests per second has an empty bucket for seconds after a change.
 constexpr double early_part = 0.1;
-/// Part of the depth that a bucket holds while lines of the former leader may be in use.
-constexpr double early_depth = 0.25;
 /// Level, as a part of the depth, from which each host may hold one credit.
 constexpr double nearly_full = 0.75;
 /// Part of the usable level that must be free for lines that hosts hold in reserve.
@@ -98,9 +96,7 @@
 {
     if (now <= refilled_)
         return;
-    // While the former leader's lines may be in use, the inflow is not saved up: it would add to them.
-    double const most = now < lines_expired_ ? std::max(1.0, depth_ * early_depth) : depth_;
-    level_ = std::min(most, level_ + rate_ * seconds(now - refilled_));
+    level_ = std::min(depth_, level_ + rate_ * seconds(now - refilled_));
     refilled_ = now;
 }
 
