Replace a silent source of the view before its session times out

The control host that an entry host takes its view from was frozen and had been silent for 0.9 s when a drain was applied (21:41:57.710). Sessions with the other four were open, but the leader pushes what a source has not delivered only after 700 ms, and all four were killed 296 ms later. The host sent 44 requests by its old view.

Change: an entry host takes another source when the current one has been silent for 700 ms, one missed ping, instead of when its session times out after 1,500 ms.

A drain that is applied just before all control hosts fail can still miss an entry host.

--- a/src/fleet/gateway_links.cpp
+++ b/src/fleet/gateway_links.cpp
@@ -23,6 +23,10 @@
 /// A source is replaced by a control host whose round trip is shorter by this factor: round trips
 /// within a failure domain, a region and between regions differ by more.
 constexpr int nearer_factor = 2;
+/// A source that has been silent for longer has missed a ping (`fleet_identity`) and may be down or
+/// frozen. Another one is taken well before the session times out, since a change that the source
+/// doesn't push arrives later, or never if the group then fails.
+constexpr milliseconds max_source_silence{700};
 /// Most control hosts of a fleet (docs/CAPACITY.md).
 constexpr std::size_t max_controls = 18;
 
@@ -65,19 +69,26 @@
                                                   { return item.second.session != nullptr; }));
 }
 
+bool gateway_node::is_heard(control_link const& control, instant now)
+{
+    return control.session != nullptr &&
+           now < control.session->last_received() + max_source_silence;
+}
+
 void gateway_node::choose_source(instant now)
 {
     auto const current = control_links_.find(source_);
     bool const open = current != control_links_.end() && current->second.session != nullptr;
+    bool const heard = open && is_heard(current->second, now);
     // A source that delivers no first view may itself be partitioned from the group.
     bool const view_timed_out = view_index_ == 0 && now >= source_until_;
     bool const settled = view_index_ == 0 || now < source_until_;
-    if (open && settled && !view_timed_out)
+    if (heard && settled && !view_timed_out)
         return;
     auto nearest = control_links_.end();
     for (auto at = control_links_.begin(); at != control_links_.end(); ++at)
     {
-        if (at->second.session == nullptr || (view_timed_out && at == current))
+        if (!is_heard(at->second, now) || (view_timed_out && at == current))
             continue;
         if (nearest == control_links_.end() ||
             at->second.link->round_trip() < nearest->second.link->round_trip())
@@ -85,10 +96,11 @@
     }
     if (nearest == control_links_.end() || nearest == current)
         return;
-    bool const nearer = !open || nearest->second.link->round_trip() * nearer_factor <
-                                     current->second.link->round_trip();
+    bool const nearer = !heard || nearest->second.link->round_trip() * nearer_factor <
+                                      current->second.link->round_trip();
     if (view_timed_out || nearer)
-        switch_source(nearest->first, now + initial_view_timeout, "nearest");
+        switch_source(nearest->first, now + initial_view_timeout,
+                      open && !heard ? "silent" : "nearest");
 }
 
 void gateway_node::switch_source(endpoint_text const& control, instant until, char const* reason)
--- a/src/fleet/gateway_node.hpp
+++ b/src/fleet/gateway_node.hpp
@@ -142,6 +142,8 @@
     /// Makes that control host the source, since it delivered a change before the source did.
     void note_newer_view(frame_session const& session, instant now);
     std::size_t open_sessions() const;
+    /// Whether its session is open and has received something lately.
+    static bool is_heard(control_link const& control, instant now);
     /// Detects that the process was paused. True while its view of upstreams may still be as old
     /// as before the pause.
     bool detect_pause(instant now);
--- a/src/transport/frame_link.hpp
+++ b/src/transport/frame_link.hpp
@@ -6,6 +6,7 @@
 #include "base/error.hpp"
 #include "base/event_loop.hpp"
 #include "base/ids.hpp"
+#include "base/instant.hpp"
 
 #include <chrono>
 #include <memory>
@@ -61,6 +62,8 @@
     virtual void close() = 0;
     /// Name from the peer's hello; empty until the hello has arrived.
     virtual std::string const& peer() const = 0;
+    /// When the last complete frame arrived; pings count. No preconditions.
+    virtual instant last_received() const = 0;
 };
 
 using frame_session_ptr = std::shared_ptr<frame_session>;
--- a/src/transport/tcp_session.cpp
+++ b/src/transport/tcp_session.cpp
@@ -137,7 +137,7 @@
         return false;
     payload_ = std::move(*payload);
     auto const type = static_cast<frame_type>(header_.type);
-    receive_deadline_ = instant::clock::now() + identity_.receive_timeout;
+    note_received();
     if (open_ && type == frame_type::ping)
         return true;
     if (!open_)
@@ -146,6 +146,12 @@
     return !closed_;
 }
 
+void tcp_session::note_received()
+{
+    last_received_ = instant::clock::now();
+    receive_deadline_ = last_received_ + identity_.receive_timeout;
+}
+
 void tcp_session::schedule_ping()
 {
     ping_timer_.expires_after(identity_.ping_interval);
@@ -173,7 +179,7 @@
     peer_ = payload_.substr(newline + 1);
     open_ = true;
     hello_timer_.cancel();
-    receive_deadline_ = instant::clock::now() + identity_.receive_timeout;
+    note_received();
     schedule_ping();
     handler_.on_open(shared_from_this());
     return true;
--- a/src/transport/tcp_session.hpp
+++ b/src/transport/tcp_session.hpp
@@ -30,6 +30,7 @@
     bool send(frame_type type, std::string payload) override;
     void close() override;
     std::string const& peer() const override { return peer_; }
+    instant last_received() const override { return last_received_; }
 
 private:
     void queue(std::string bytes);
@@ -38,12 +39,14 @@
     std::size_t payload_limit() const { return open_ ? max_payload_bytes : max_hello_bytes; }
     void read_payload();
     bool deliver();
+    void note_received();
     void schedule_ping();
     bool accept_hello();
 
     boost::asio::ip::tcp::socket socket_;
     boost::asio::steady_timer hello_timer_;
     boost::asio::steady_timer ping_timer_;
+    instant last_received_;
     /// The session is closed if nothing arrives before this time.
     instant receive_deadline_;
     frame_handler& handler_;
