Give up stalled answers of upstreams first when memory runs out

Cause: beyond the bound on unfinished answers the largest one failed, whether its upstream was sending or not, so an upstream that stalls in the middle of an answer cost fast answers of others.

Change: the call whose upstream has sent less than 16 KB in the last second ends first, the longest stalled before others; without one the largest answer that states no length, as before, since it may have no end; without one the answer with the least progress for the longest. Each is logged (upstream_given_up) and counted.

--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -2,12 +2,16 @@
 #include "transport/http_client.hpp"
 
 #include "base/endpoint.hpp"
+#include "base/log.hpp"
 #include "transport/connection_pool.hpp"
+#include "transport/transfer_progress.hpp"
 
 #include <algorithm>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <functional>
+#include <limits>
+#include <tuple>
 #include <unordered_map>
 
 namespace guavashed
@@ -23,6 +27,9 @@
 constexpr std::size_t max_response_bytes = 16 * 1024 * 1024;
 /// Interim answers (1xx) that may precede an answer.
 constexpr int max_interim_answers = 8;
+/// An upstream that has sent less than a step of its answer for this long counts as stalled. Those
+/// that send at the rate of a slow link (16 KB/s and more) don't.
+constexpr milliseconds stall_time{1000};
 
 http_response to_http_response(http::response<http::string_body>&& message)
 {
@@ -46,8 +53,8 @@
 
     class exchange;
 
-    /// Ends the call that holds most memory while all together hold too much, first among answers
-    /// that state no length: bytes without end must not cost the answers of other calls.
+    /// Ends one call while all together hold too much. Neither a stalled upstream nor bytes without
+    /// end may cost the answers of other calls.
     void bound_buffered();
 
     asio::io_context& context_;
@@ -58,6 +65,7 @@
     std::unordered_map<http_call_id, std::weak_ptr<exchange>> running_;
     http_call_id last_id_ = 0;
     std::uint64_t opened_ = 0;
+    std::uint64_t given_up_for_memory_ = 0;
 };
 
 /// One call on one connection.
@@ -86,12 +94,28 @@
     }
 
     std::size_t buffered_bytes() const { return buffered_bytes_; }
-    bool states_length() const { return parser_ && parser_->content_length().has_value(); }
+    /// Sorts by who is to be ended first when memory is short: the lowest first.
+    std::tuple<int, std::size_t, instant> worth(instant now) const
+    {
+        instant const last_step = progress_.last_step();
+        if (last_step + stall_time < now)
+            return {0, 0, last_step};
+        if (!parser_->content_length())
+            return {1, std::numeric_limits<std::size_t>::max() - buffered_bytes_, last_step};
+        return {2, 0, last_step};
+    }
 
     /// Ends the call because its answer takes the memory of others.
     void end_as_oversized()
     {
         is_oversized_ = true;
+        ++client_->given_up_for_memory_;
+        instant const now = instant::clock::now();
+        log_change(log_level::warning, "upstream_given_up",
+                   "peer=" + call_.endpoint.value() + " id=" + call_.expected_id +
+                       " held_bytes=" + std::to_string(buffered_bytes_) + " silent_for_ms=" +
+                       std::to_string(remaining_ms(now, progress_.last_byte())) +
+                       " host_held_bytes=" + std::to_string(client_->buffered_bytes_));
         client_->buffered_bytes_ -= std::exchange(buffered_bytes_, 0);
         cancel();
     }
@@ -169,22 +193,24 @@
         parser_.emplace();
         parser_->body_limit(max_response_bytes);
         parser_->skip(call_.request.method == "HEAD");
+        progress_.start(instant::clock::now());
         read_some();
     }
 
     void read_some()
     {
         http::async_read_some(connection_->stream, connection_->buffer, *parser_,
-                              [self = shared_from_this()](beast::error_code code, std::size_t)
-                              { self->on_some(code); });
+                              [self = shared_from_this()](beast::error_code code, std::size_t bytes)
+                              { self->on_some(code, bytes); });
     }
 
-    void on_some(beast::error_code code)
+    void on_some(beast::error_code code, std::size_t bytes)
     {
         if (code)
             return on_read(code);
         if (!parser_->is_done())
         {
+            progress_.add(bytes, instant::clock::now());
             std::size_t const held =
                 parser_->get().body().capacity() + connection_->buffer.capacity();
             client_->buffered_bytes_ += held - std::exchange(buffered_bytes_, held);
@@ -289,6 +315,7 @@
     int interim_answers_ = 0;
     /// Part of the client's buffered bytes.
     std::size_t buffered_bytes_ = 0;
+    transfer_progress progress_;
     bool is_oversized_ = false;
 };
 
@@ -296,20 +323,16 @@
 {
     if (buffered_bytes_ <= max_buffered_bytes_)
         return;
-    std::shared_ptr<exchange> largest;
+    instant const now = instant::clock::now();
+    std::shared_ptr<exchange> least;
     for (auto const& [id, item] : running_)
     {
         auto const call = item.lock();
-        if (!call || call->buffered_bytes() == 0)
-            continue;
-        bool const preferred = largest && largest->states_length() && !call->states_length();
-        bool const same_kind = largest && largest->states_length() == call->states_length();
-        if (!largest || preferred ||
-            (same_kind && call->buffered_bytes() > largest->buffered_bytes()))
-            largest = call;
+        if (call && call->buffered_bytes() > 0 && (!least || call->worth(now) < least->worth(now)))
+            least = call;
     }
-    if (largest)
-        largest->end_as_oversized();
+    if (least)
+        least->end_as_oversized();
 }
 
 http_client::http_client(event_loop& owner, std::size_t max_buffered_bytes)
@@ -343,4 +366,14 @@
     return implementation_->opened_;
 }
 
+std::size_t http_client::buffered_bytes() const
+{
+    return implementation_->buffered_bytes_;
+}
+
+std::uint64_t http_client::given_up_for_memory() const
+{
+    return implementation_->given_up_for_memory_;
+}
+
 } // namespace guavashed
--- a/src/transport/http_client.hpp
+++ b/src/transport/http_client.hpp
@@ -69,7 +69,9 @@
     /// Bytes of unfinished answers that all calls may hold, where nothing else is stated.
     static constexpr std::size_t default_max_buffered_bytes = 64 * 1024 * 1024;
 
-    /// Beyond `max_buffered_bytes` of unfinished answers, the call that holds most of them fails.
+    /// Beyond `max_buffered_bytes` of unfinished answers, one call fails: one whose upstream has
+    /// stalled, the longest stalled first; without one, the largest answer that states no length;
+    /// without one, the answer that has made the least progress for the longest.
     /// Precondition: `owner` outlives the client's calls.
     explicit http_client(event_loop& owner,
                          std::size_t max_buffered_bytes = default_max_buffered_bytes);
@@ -82,6 +84,10 @@
     void cancel(http_call_id id);
     /// Connections opened so far. Owner's thread only.
     std::uint64_t connections_opened() const;
+    /// Bytes that unfinished answers hold now. Owner's thread only.
+    std::size_t buffered_bytes() const;
+    /// Calls that failed because of `max_buffered_bytes`. Owner's thread only.
+    std::uint64_t given_up_for_memory() const;
 
 private:
     class implementation;
