Bound what is held for callers that read slowly

Cause, seen in trials on the code before: with a bound of 8 MB, 30 callers that didn't read answers of 5 MB took 155 MB of resident memory, since answers were counted but never bounded; meanwhile a POST of another caller was refused with 503, since bodies and answers shared one bound. A caller that read 20 MB steadily was cut after 8.2 MB, since the timeout (1 s there) was on the whole answer.

Change: - Answers count from their end at the upstream until their last byte is handed to the kernel, against a bound of their own.

--- a/src/fleet/gateway_node.cpp
+++ b/src/fleet/gateway_node.cpp
@@ -46,6 +46,7 @@
     http_server_limits limits;
     limits.max_connections = settings_.max_connections;
     limits.max_buffered_bytes = settings_.max_buffered_bytes;
+    limits.max_held_bytes = settings_.max_buffered_bytes;
     caller_server_ = std::make_unique<http_server>(event_loop_, *this, limits);
     BOOST_OUTCOME_TRY(caller_server_->listen(settings_.caller_listen));
     readiness_ = std::make_unique<readiness>(
@@ -141,6 +142,7 @@
     limits.max_body_bytes = config.limits.max_body_bytes;
     limits.max_connections = settings_.max_connections;
     limits.max_buffered_bytes = settings_.max_buffered_bytes;
+    limits.max_held_bytes = settings_.max_buffered_bytes;
     // Callers may use up the limits that they know, which may be those of a newer configuration.
     limits.header_timeout = milliseconds(config.limits.header_timeout_ms) * 3 / 2;
     limits.idle_timeout = milliseconds(config.limits.idle_timeout_ms) * 3 / 2;
@@ -198,6 +200,11 @@
     line("http_rejected_total", http.bad_requests);
     line("http_refused_connections_total", http.refused_connections);
     line("http_refused_for_memory_total", http.refused_for_memory);
+    line("held_for_callers_bytes", http.held_bytes);
+    line("callers_given_up_for_memory_total", http.given_up_for_memory);
+    line("callers_given_up_without_progress_total", http.given_up_without_progress);
+    line("unfinished_answers_bytes", client_.buffered_bytes());
+    line("upstreams_given_up_for_memory_total", client_.given_up_for_memory());
     line("http_handler_failures_total", http.handler_failures);
     line("http_open_connections", http.open);
     line("in_flight", calls_.size());
--- a/src/fleet/gateway_node.hpp
+++ b/src/fleet/gateway_node.hpp
@@ -42,7 +42,8 @@
     double retry_extra = 0;
     /// Bounds connections, and with them buffers.
     std::size_t max_connections = 2048;
-    /// Bytes that bodies of requests may hold, and as many those of unfinished answers.
+    /// Bytes that bodies of requests may hold, as many unfinished answers of upstreams, and as many
+    /// the answers that callers have not taken yet.
     std::size_t max_buffered_bytes = 64 * 1024 * 1024;
     /// Capacity of the host's network link, each way; 0 for no known bound.
     double link_bytes_per_s = 0;
--- a/src/transport/http_server.hpp
+++ b/src/transport/http_server.hpp
@@ -48,13 +48,19 @@
     std::size_t max_body_bytes = 256 * 1024;
     std::size_t max_connections = 4096;
     /// Longest time from a connection's last answer to the first byte of its next request, from a
-    /// request's head to its end, and for writing an answer.
+    /// request's head to its end, and for which a caller may take nothing of an answer.
     std::chrono::milliseconds idle_timeout{60000};
     /// Longest time from the first byte of a request to the end of its head.
     std::chrono::milliseconds header_timeout{10000};
-    /// Bytes of bodies and of answers waiting for their turn that all connections may hold;
-    /// requests beyond it are refused with 503.
+    /// Bytes of request bodies that all connections may hold; requests beyond it are refused with
+    /// 503.
     std::size_t max_buffered_bytes = 64 * 1024 * 1024;
+    /// Bytes of answers that all connections may hold until their callers have taken them. Beyond
+    /// it, the connection whose caller has made the least progress for the longest is closed.
+    std::size_t max_held_bytes = 64 * 1024 * 1024;
+    /// Bytes of answers that one connection may hold before it runs no further request beside
+    /// them.
+    std::size_t max_connection_held_bytes = 1024 * 1024;
     /// Sets `http_request::arrived_at`, and drops requests whose callers have closed their
     /// connections before they were read. Takes two system calls for each read.
     bool stamps_arrivals = false;
@@ -68,6 +74,12 @@
     std::atomic<std::uint64_t> open{0};
     /// Requests refused because `max_buffered_bytes` were held.
     std::atomic<std::uint64_t> refused_for_memory{0};
+    /// Bytes of answers that are held for callers now.
+    std::atomic<std::uint64_t> held_bytes{0};
+    /// Connections closed because `max_held_bytes` were exceeded.
+    std::atomic<std::uint64_t> given_up_for_memory{0};
+    /// Connections closed because their callers took nothing for `idle_timeout`.
+    std::atomic<std::uint64_t> given_up_without_progress{0};
     /// Exceptions that left the handler.
     std::atomic<std::uint64_t> handler_failures{0};
 };
--- a/src/transport/http_session.cpp
+++ b/src/transport/http_session.cpp
@@ -26,31 +26,6 @@
 /// Retry-After of requests that don't fit into memory, in seconds.
 constexpr char const* full_retry_after = "1";
 
-/// Address of the caller, for log lines; empty once the connection has ended.
-std::string peer_of(asio::ip::tcp::socket const& socket)
-{
-    beast::error_code code;
-    auto const peer = socket.remote_endpoint(code);
-    return code ? "" : peer.address().to_string() + ":" + std::to_string(peer.port());
-}
-
-/// Sets body and length. An answer to HEAD has no body but may state the length of the one that it
-/// omits; an answer of status 204 or 304 has none, and callers would read it as the next answer.
-void set_body(http::response<http::string_body>& answer, std::string body, bool is_head)
-{
-    bool const never_has_body = answer.result() == http::status::no_content ||
-                                answer.result() == http::status::not_modified;
-    if (never_has_body)
-        return answer.erase(http::field::content_length), void();
-    if (!is_head)
-    {
-        answer.body() = std::move(body);
-        return answer.prepare_payload();
-    }
-    if (!body.empty())
-        answer.content_length(body.size());
-}
-
 } // namespace
 
 class http_session::exchange : public http_exchange, public std::enable_shared_from_this<exchange>
@@ -110,7 +85,7 @@
 
 http_session::http_session(std::shared_ptr<http_server_state> server, asio::ip::tcp::socket socket)
     : server_(std::move(server)), socket_(std::move(socket)), read_timer_(server_->owner.context()),
-      write_timer_(server_->owner.context())
+      write_timer_(server_->owner.context()), held_(server_->counters.held_bytes)
 {
     ++server_->counters.open;
     server_->sessions.insert(this);
@@ -119,7 +94,7 @@
 http_session::~http_session()
 {
     for (auto const& item : slots_)
-        release_buffered(*item);
+        release_body(*item);
     server_->buffered_bytes -= body_reserved_;
     server_->sessions.erase(this);
     --server_->counters.open;
@@ -164,18 +139,26 @@
 {
     if (phase_ == phase::closed || item->response)
         return;
-    add_buffered(*item, response.body.size());
+    release_body(*item);
+    item->answer_bytes = response.body.capacity();
+    // Falls slowly, so that one large answer doesn't keep later requests apart for good.
+    largest_answer_ = std::max(item->answer_bytes, largest_answer_ - largest_answer_ / 8);
+    held_.add(item->answer_bytes, instant::clock::now());
     item->response = std::move(response);
     write_next();
+    if (server_->counters.held_bytes > server_->limits.max_held_bytes)
+        // Closing other connections abandons their requests, which the handler that answers this
+        // one may be going through.
+        asio::post(server_->owner.context(), [server = server_] { server->bound_held_bytes(); });
 }
 
 void http_session::reject(unsigned status, std::string_view reason)
 {
     ++server_->counters.bad_requests;
-    log_request("request_rejected",
-                "status=" + std::to_string(status) + " peer=" + peer_of(socket_) + " unanswered=" +
-                    std::to_string(slots_.size()) + " answered_any=" + (answered_any_ ? "1" : "0") +
-                    " reason=\"" + std::string(reason) + "\"");
+    log_request("request_rejected", "status=" + std::to_string(status) + " peer=" + peer() +
+                                        " unanswered=" + std::to_string(slots_.size()) +
+                                        " answered_any=" + (answered_any_ ? "1" : "0") +
+                                        " reason=\"" + std::string(reason) + "\"");
     parser_.reset();
     server_->buffered_bytes -= std::exchange(body_reserved_, 0);
     phase_ = phase::finishing;
@@ -191,79 +174,6 @@
     write_next();
 }
 
-void http_session::write_next()
-{
-    if (writing_ || slots_.empty() || !slots_.front()->response)
-        return;
-    slot& item = *slots_.front();
-    // Requests behind an answer that closes the connection count as unread, so none of those
-    // behind this one may have been passed on.
-    bool const followed = slots_.size() > 1 && !slots_[1]->waiting;
-    bool const keep = item.keep_alive && (followed || !server_->draining);
-    if (!keep)
-        phase_ = phase::finishing;
-    outgoing_.emplace();
-    outgoing_->version(11);
-    outgoing_->result(item.response->status);
-    for (auto const& field : item.response->fields)
-        outgoing_->insert(field.name, field.value);
-    outgoing_->keep_alive(keep);
-    set_body(*outgoing_, std::move(item.response->body), item.is_head);
-    writing_ = true;
-    write_timer_.expires_at(timer_point(instant::clock::now() + server_->limits.idle_timeout));
-    write_timer_.async_wait(
-        [self = shared_from_this()](beast::error_code code)
-        {
-            if (!code)
-                self->close();
-        });
-    http::async_write(socket_, *outgoing_,
-                      [self = shared_from_this()](beast::error_code code, std::size_t)
-                      { self->on_written(code); });
-}
-
-void http_session::on_written(beast::error_code code)
-{
-    writing_ = false;
-    write_timer_.cancel();
-    if (phase_ == phase::closed)
-        return;
-    if (code)
-    {
-        abandon_all();
-        return close();
-    }
-    answered_any_ = true;
-    bool const keep = outgoing_->keep_alive();
-    outgoing_.reset();
-    release_buffered(*slots_.front());
-    slots_.pop_front();
-    if (!keep)
-        return linger();
-    if (!slots_.empty() && slots_.front()->waiting)
-        run(slots_.front());
-    write_next();
-    parse();
-    read();
-}
-
-void http_session::write_continue()
-{
-    if (!continue_due_ || writing_ || !slots_.empty())
-        return;
-    continue_due_ = false;
-    writing_ = true;
-    static constexpr std::string_view interim = "HTTP/1.1 100 Continue\r\n\r\n";
-    asio::async_write(socket_, asio::buffer(interim),
-                      [self = shared_from_this()](beast::error_code code, std::size_t)
-                      {
-                          self->writing_ = false;
-                          if (code)
-                              return self->close();
-                          self->write_next();
-                      });
-}
-
 void http_session::linger()
 {
     phase_ = phase::lingering;
@@ -283,6 +193,9 @@
     phase_ = phase::closed;
     read_deadline_ = instant::max();
     abandon_all();
+    // The answer that is being written is kept by `abandon_all`.
+    for (auto const& item : slots_)
+        release_answer(*item);
     beast::error_code ignored;
     socket_.close(ignored);
     read_timer_.cancel();
@@ -296,7 +209,8 @@
     std::size_t const kept = writing_ ? 1 : 0;
     for (std::size_t at = kept; at < items.size(); ++at)
     {
-        release_buffered(*items[at]);
+        release_body(*items[at]);
+        release_answer(*items[at]);
         if (auto const current = items[at]->running.lock(); current && !items[at]->response)
             current->abandon();
     }
@@ -304,15 +218,21 @@
                  slots_.end());
 }
 
-void http_session::add_buffered(slot& item, std::size_t bytes)
+void http_session::release_body(slot& item)
 {
-    item.buffered += bytes;
-    server_->buffered_bytes += bytes;
+    server_->buffered_bytes -= std::exchange(item.body_bytes, 0);
 }
 
-void http_session::release_buffered(slot& item)
+void http_session::release_answer(slot& item)
 {
-    server_->buffered_bytes -= std::exchange(item.buffered, 0);
+    held_.release(std::exchange(item.answer_bytes, 0));
+}
+
+std::string http_session::peer() const
+{
+    beast::error_code code;
+    auto const from = socket_.remote_endpoint(code);
+    return code ? "" : from.address().to_string() + ":" + std::to_string(from.port());
 }
 
 } // namespace guavashed
--- a/src/transport/http_session_read.cpp
+++ b/src/transport/http_session_read.cpp
@@ -124,12 +124,21 @@
     if (phase_ != phase::serving || slots_.size() >= max_pipelined)
         return false;
     // A request that may not overlap is alone on its connection until its answer is written.
-    return slots_.empty() || slots_.back()->overlaps;
+    return slots_.empty() || (slots_.back()->overlaps && has_room_for_answer());
+}
+
+bool http_session::has_room_for_answer() const
+{
+    auto const due = static_cast<std::size_t>(std::count_if(slots_.begin(), slots_.end(),
+                                                            [](std::shared_ptr<slot> const& item)
+                                                            { return !item->response; }));
+    return held_.bytes() + (due + 1) * largest_answer_ <= server_->limits.max_connection_held_bytes;
 }
 
 void http_session::parse()
 {
-    while (can_take_request() && parse_one())
+    // A request that has begun is read to its end: its deadline runs.
+    while (((phase_ == phase::serving && parser_) || can_take_request()) && parse_one())
         take_request();
     update_read_deadline();
 }
@@ -228,7 +237,7 @@
     auto const& head = parser_->get();
     item->keep_alive = head.keep_alive();
     item->is_head = head.method() == http::verb::head;
-    item->buffered = std::exchange(body_reserved_, 0);
+    item->body_bytes = std::exchange(body_reserved_, 0);
     item->waiting = to_http_request(parser_->release());
     item->waiting->arrived_at = arrived_at_;
     parser_.reset();
--- a/test/error/http_server_support.hpp
+++ b/test/error/http_server_support.hpp
@@ -41,7 +41,10 @@
         }
         if (request.target.starts_with("/status/"))
             return exchange->respond({unsigned(std::stoul(request.target.substr(8))), {}, "body"});
-        exchange->respond({200, {}, request.target + std::string(answer_padding, '.')});
+        // Appended, so that the body takes no more memory than its size.
+        std::string body = request.target;
+        body.append(answer_padding, '.');
+        exchange->respond({200, {}, std::move(body)});
     }
     bool may_overlap(http_request const& request) const override { return request.method == "GET"; }
 
--- a/test/error/raw_caller.hpp
+++ b/test/error/raw_caller.hpp
@@ -14,16 +14,21 @@
 class raw_caller
 {
 public:
-    /// Connects and sends `bytes`.
-    explicit raw_caller(boost::asio::ip::tcp::endpoint const& to, std::string const& bytes = {})
+    /// Connects and sends `bytes`. `receive_buffer` is what the kernel takes for a caller that
+    /// doesn't read, where it isn't 0; else that is megabytes on this machine.
+    explicit raw_caller(boost::asio::ip::tcp::endpoint const& to, std::string const& bytes = {},
+                        int receive_buffer = 0)
         : socket_(context_)
     {
+        socket_.open(to.protocol());
+        if (receive_buffer > 0)
+            socket_.set_option(boost::asio::socket_base::receive_buffer_size(receive_buffer));
         socket_.connect(to);
         send(bytes);
     }
     /// The same, to a port of 127.0.0.1.
-    explicit raw_caller(unsigned short port, std::string const& bytes = {})
-        : raw_caller({boost::asio::ip::make_address("127.0.0.1"), port}, bytes)
+    explicit raw_caller(unsigned short port, std::string const& bytes = {}, int receive_buffer = 0)
+        : raw_caller({boost::asio::ip::make_address("127.0.0.1"), port}, bytes, receive_buffer)
     {
     }
 
@@ -46,6 +51,12 @@
         return receive(default_limit,
                        [&](std::string const& all) { return all.find(end) != std::string::npos; });
     }
+    /// Reads once, up to `most` bytes, and returns their number; 0 when the connection has ended.
+    std::size_t read_some(std::size_t most)
+    {
+        std::string buffer(most, ' ');
+        return socket_.read_some(boost::asio::buffer(buffer), failure_);
+    }
     /// Bytes until the peer closes, or 5 s have passed.
     std::string receive_to_end() { return receive_for(default_limit); }
     /// Whether the connection ended with a reset.
@@ -61,6 +72,7 @@
     {
         std::string out;
         std::array<char, 64 * 1024> buffer;
+        timed_out_ = false;
         boost::asio::steady_timer timer(context_, limit);
         timer.async_wait(
             [&](boost::system::error_code code)
@@ -76,7 +88,8 @@
                                     {
                                         out.append(buffer.data(), count);
                                         failure_ = code;
-                                        if (!code && !complete(out))
+                                        // A read that ended just before the limit is the last one.
+                                        if (!code && !timed_out_ && !complete(out))
                                             return read();
                                         timer.cancel();
                                     });
