--- a/src/fleet/gateway_node.hpp
+++ b/src/fleet/gateway_node.hpp
@@ -47,7 +47,8 @@
     double retry_extra = 0;
     /// Bounds connections, and with them buffers.
     std::size_t max_connections = 2048;
-    /// Bytes that bodies of requests may hold, and as many those of unfinished answers.
+    /// Bytes that bodies of requests may hold, as many unfinished answers of upstreams, and as many
+    /// the answers that callers have not taken yet.
     std::size_t max_buffered_bytes = 64 * 1024 * 1024;
     /// Capacity of the host's network link, each way; 0 for no known bound.
     double link_bytes_per_s = 0;
@@ -172,6 +173,8 @@
     /// Makes that control host the source, since it delivered a change before the source did.
     void note_newer_view(frame_session const& session, instant now);
     std::size_t open_sessions() const;
+    /// Whether its session is open and has received something lately.
+    static bool is_heard(control_link const& control, instant now);
     /// Detects that the process was paused. True while its view of upstreams may still be as old
     /// as before the pause.
     bool detect_pause(instant now);
