Read max_region_shift from the settings

The limit on requests that change their region was a constant of the selector, while deployments state it in the bounds of the settings file. The share of requests that load moves to other regions is now at most the same limit. Without the setting it stays 0.15.

--- a/src/fleet/gateway_node.cpp
+++ b/src/fleet/gateway_node.cpp
@@ -30,7 +30,11 @@
     : settings_(std::move(settings)), protocol_(protocol), event_loop_("entry"),
       ticker_(event_loop_, tick_interval, [this](instant now) { tick(now); }),
       client_(event_loop_, settings_.max_buffered_bytes),
-      board_({settings_.name, settings_.region, settings_.domain, settings_.regions},
+      board_({.self = settings_.name,
+              .region = settings_.region,
+              .domain = settings_.domain,
+              .regions = settings_.regions,
+              .max_region_shift = settings_.max_region_shift},
              std::random_device{}()),
       link_budget_(settings_.link_bytes_per_s)
 {
--- a/src/fleet/gateway_node.hpp
+++ b/src/fleet/gateway_node.hpp
@@ -40,6 +40,9 @@
     /// The fleet's retry budget per service: a ratio of first attempts, and a constant extra.
     double retry_ratio = 0.2;
     double retry_extra = 0;
+    /// Maximum fraction of this region's requests that may change the region in which they run
+    /// from one window of 2 s to the next, unless upstreams fail.
+    double max_region_shift = 0.15;
     /// Bounds connections, and with them buffers.
     std::size_t max_connections = 2048;
     /// Bytes that bodies of requests may hold, and as many those of unfinished answers.
--- a/src/routing/upstream_selector.cpp
+++ b/src/routing/upstream_selector.cpp
@@ -40,6 +40,7 @@
 upstream_selector::upstream_selector(selector_settings settings, std::uint64_t seed)
     : settings_(std::move(settings)), random_(seed)
 {
+    settings_.max_spill_ratio = std::min(settings_.max_spill_ratio, settings_.max_region_shift);
 }
 
 void upstream_selector::configure(routing_config const& config)
--- a/test/error/platform_settings_test.cpp
+++ b/test/error/platform_settings_test.cpp
@@ -27,7 +27,7 @@
 limits.link_mbps=3.2
 data_dir=/data/my-core
 heartbeat_ms=1500
-bounds=retry_budget=0.2,budget_extra=64,ttl_max_s=5,grace_s=6
+bounds=retry_budget=0.2,budget_extra=64,ttl_max_s=5,grace_s=6,max_region_shift=0.2
 a.field.of.tomorrow=1
 )";
 
@@ -60,6 +60,7 @@
     CHECK(out.bootstrap);
     CHECK(out.retry_extra == 64);
     CHECK(gateway_settings_of(out).link_bytes_per_s == Approx(400000));
+    CHECK(gateway_settings_of(out).max_region_shift == Approx(0.2));
     // The file lists seeds with their operator ports; their peer port is the first internal port.
     REQUIRE(out.seeds.size() == 2);
     CHECK(out.seeds[1] == endpoint_text("10.2.0.42:7720"));
