Log a region without upstreams only once

A region that had lost its last upstream stayed in the list of shares with a share of 0 and counted as failed at each later change of the view, which wrote a line region_shares each time. Only regions with a share count now.

--- a/src/routing/upstream_ranking.cpp
+++ b/src/routing/upstream_ranking.cpp
@@ -117,12 +117,16 @@
     {
         std::set<region_name>& failed = failed_[service];
         auto const& homes = homes_[service];
-        for (auto const& item : shares.at(now))
-            if (auto const of_region = homes.find(item.region);
-                of_region == homes.end() ||
-                std::none_of(of_region->second.begin(), of_region->second.end(),
-                             [](auto const* state) { return state->may_be_home(); }))
-                failed.insert(item.region);
+        for (auto const& [region, share] : shares.at(now))
+        {
+            auto const of_region = homes.find(region);
+            bool const has_homes =
+                of_region != homes.end() &&
+                std::any_of(of_region->second.begin(), of_region->second.end(),
+                            [](auto const* state) { return state->may_be_home(); });
+            if (share > 0 && !has_homes)
+                failed.insert(region);
+        }
         std::vector<region_share> const target = target_shares(service);
         double const moving = shares.set_target(target, failed, now);
         if (moving < min_logged_shift && failed.empty())
