--- a/test/correctness/routing/config_check_test.cpp
+++ b/test/correctness/routing/config_check_test.cpp
@@ -172,6 +172,15 @@
         CHECK(contains(out.str(), "contradiction: route r-1: timeout"));
         CHECK(contains(out.str(), "changed: route r-1: timeout ms: 1000 -> 300"));
     }
+    SECTION("a finding about a workspace")
+    {
+        std::string with_workspace = sound;
+        with_workspace.replace(with_workspace.find("\"base_version\""), 0,
+                               R"("tenants":{"acme":{"api_keys":["k1"],"burst":5}},)");
+        CHECK(report_config(with_workspace, sound, regions, out) == config_verdict::has_findings);
+        CHECK(contains(out.str(), "workspace acme: burst"));
+        CHECK(contains(out.str(), "added: workspace acme"));
+    }
     SECTION("a document that is not valid")
     {
         CHECK(report_config("{", sound, regions, out) == config_verdict::unusable);
