--- a/src/access/quota_bucket.cpp
+++ b/src/access/quota_bucket.cpp
@@ -236,8 +236,8 @@
 quota_bucket::grant quota_bucket::decide(slot& of, double room, instant now) const
 {
     double const usable = usable_level(now);
-    // While the bucket stays nearly full, less is used than flows in, and what hosts want beyond the
-    // level is reserve. Dividing it by demand would leave most hosts without a whole credit.
+    // While the bucket stays nearly full, less is used than flows in, and what hosts want beyond
+    // the level is reserve. Dividing it by demand would leave most hosts without a whole credit.
     bool const is_short = wanted_sum_ > usable && level_ < nearly_full * depth_;
     double const unowed = room - of.remaining() - owed_ - of.carry;
     double target = of.wanted;
--- a/src/fleet/registry_leases.cpp
+++ b/src/fleet/registry_leases.cpp
@@ -30,8 +30,8 @@
 
 void registry_node::update_quota_ledger(instant now)
 {
-    // Limits that are still being read from the log are not configured: each would start with a full
-    // bucket after the term has begun.
+    // Limits that are still being read from the log are not configured: each would start with a
+    // full bucket after the term has begun.
     if (!may_grant_leases(now))
         return;
     if (register_.access_changed() != quota_access_changed_)
