Let requests wait for credit up to half of their latency objective

Change: a request waits up to half of its objective, at least 250 ms; each held request has its own deadline.

--- a/src/access/held_queue.hpp
+++ b/src/access/held_queue.hpp
@@ -13,9 +13,9 @@
 namespace guavashed
 {
 
-/// Holds items for at most a fixed time. Thread safety: none.
+/// Holds items, each until its own deadline. Thread safety: none.
 ///
-/// Example: `held_queue<call_ptr> held_(256, milliseconds(250));`
+/// Example: `held_queue<call_ptr> held_(256);`
 template <class Item>
 class held_queue
 {
@@ -26,17 +26,14 @@
         instant until;
     };
 
-    held_queue(std::size_t capacity, milliseconds duration)
-        : capacity_(capacity), duration_(duration)
-    {
-    }
+    explicit held_queue(std::size_t capacity) : capacity_(capacity) {}
 
     /// False when the queue is full; the item is then not held.
-    bool add(Item item, instant now)
+    bool add(Item item, instant until)
     {
         if (items_.size() >= capacity_)
             return false;
-        items_.push_back({std::move(item), now + duration_});
+        put_back({std::move(item), until});
         return true;
     }
 
@@ -77,7 +74,6 @@
 
 private:
     std::size_t capacity_;
-    milliseconds duration_;
     /// In the order of their deadlines.
     std::deque<held> items_;
 };
--- a/src/fleet/gateway_leases.cpp
+++ b/src/fleet/gateway_leases.cpp
@@ -16,6 +16,12 @@
 /// Hosts that take over for a leaving one are ready already.
 constexpr double leaving_retry_after_ms = 100;
 constexpr unsigned status_over_limit = 429;
+/// Least time that a request waits for credit: two round trips between regions.
+constexpr milliseconds min_hold{250};
+/// Part of a route's latency objective that its requests may wait for credit. On a saturated link the
+/// exchange with the leader takes longer than two round trips, and a refusal sends the caller back
+/// into the same overload.
+constexpr double hold_fraction = 0.5;
 
 } // namespace
 
@@ -138,7 +144,9 @@
 {
     if (open_sessions() == 0)
         return refuse_without_credit(item, "no credit for the workspace, and no control host", now);
-    if (is_cutting_short_ || !held_.add(item, now))
+    milliseconds const hold(static_cast<std::int64_t>(item->route->objective_ms * hold_fraction));
+    instant const until = std::min(item->deadline, now + std::max(min_hold, hold));
+    if (is_cutting_short_ || !held_.add(item, until))
         return refuse_without_credit(item, "too many requests wait for credit", now);
     ++counters_.held;
     drive_lease(now);
--- a/src/fleet/gateway_node.hpp
+++ b/src/fleet/gateway_node.hpp
@@ -282,7 +282,7 @@
     credit_account credit_;
     boost::asio::steady_timer lease_timer_;
     /// Requests that wait for credit. A caller waits no longer than two round trips to the leader.
-    held_queue<call_ptr> held_{256, milliseconds(250)};
+    held_queue<call_ptr> held_{256};
     std::uint64_t view_index_ = 0;
     /// Control host from which this host receives its view; empty while there is none.
     endpoint_text source_;
--- a/test/correctness/access/access_lease_test.cpp
+++ b/test/correctness/access/access_lease_test.cpp
@@ -227,11 +227,11 @@
 // Guards against callers that wait for credit without end, or in any number.
 SCENARIO("a bounded number of items is held for a bounded time")
 {
-    held_queue<int> queue(2, milliseconds(250));
+    held_queue<int> queue(2);
     instant const start{std::chrono::hours(1)};
-    CHECK(queue.add(1, start));
-    CHECK(queue.add(2, start + milliseconds(100)));
-    CHECK_FALSE(queue.add(3, start + milliseconds(100)));
+    CHECK(queue.add(1, start + milliseconds(250)));
+    CHECK(queue.add(2, start + milliseconds(350)));
+    CHECK_FALSE(queue.add(3, start + milliseconds(350)));
     CHECK(queue.next_expiry() == start + milliseconds(250));
 
     WHEN("one leaves")
@@ -241,10 +241,16 @@
         CHECK(queue.take_expired(start + milliseconds(350)) == std::vector<int>{2});
         CHECK(queue.empty());
     }
+    WHEN("one with an earlier deadline is added later")
+    {
+        queue.remove(2);
+        CHECK(queue.add(5, start + milliseconds(200)));
+        CHECK(queue.take_expired(start + milliseconds(200)) == std::vector<int>{5});
+    }
     WHEN("an item is put back after a newer one was added")
     {
         auto held = queue.take_all();
-        queue.add(4, start + milliseconds(200));
+        queue.add(4, start + milliseconds(450));
         queue.put_back(held.front());
         THEN("its own deadline applies")
         {
