Mend what a review of the merged parts found

- An entry host whose view was older than the table of workspaces ran requests without key and lease: where keys are revoked strictly, it now needs a lease whatever its view says, and is ready with its first one.
- Closing a connection for memory could free its session while its requests were being abandoned (found with the address sanitizer): it keeps itself alive, and the loop ends when a round frees nothing.
- A lost lease request was not repeated for the requests that waited for it: they are decided, and asked for, again every 150 ms.
A workspace takes at most 64 of the 256 places.
- Requests waited longer at the leader (400 ms) than credit lines allow for late reports: 150 ms.
- Shares of regions grew with each list of allowed regions: lists are reduced to the regions that exist, and services that are gone are dropped.
- The time told to callers beyond a limit was cut at 10 s: the leader's bound of 60 s holds.

--- a/src/access/credit_account.cpp
+++ b/src/access/credit_account.cpp
@@ -28,8 +28,8 @@
 /// A shortage is taken as current at least this long: one exchange interval and a round trip, since
 /// refused requests are reported and the answer brings the present state.
 constexpr milliseconds min_shortage{450};
-/// The longest time told to refused requests; beyond it, callers are expected to come back anyway.
-constexpr std::chrono::seconds max_turn{10};
+/// The longest time told to refused requests, as the leader's.
+constexpr std::chrono::seconds max_turn{60};
 /// Reports that may be unanswered before the oldest is given up.
 constexpr std::size_t max_unanswered = 32;
 
--- a/src/access/held_queue.hpp
+++ b/src/access/held_queue.hpp
@@ -69,6 +69,12 @@
 
     /// When the time of the first item is over; `instant::max()` when there is none.
     instant next_expiry() const { return items_.empty() ? instant::max() : items_.front().until; }
+    template <class Predicate>
+    std::size_t count(Predicate matches) const
+    {
+        return static_cast<std::size_t>(std::count_if(
+            items_.begin(), items_.end(), [&matches](held const& at) { return matches(at.item); }));
+    }
     bool empty() const { return items_.empty(); }
     std::size_t size() const { return items_.size(); }
 
--- a/src/fleet/gateway_access.cpp
+++ b/src/fleet/gateway_access.cpp
@@ -13,8 +13,6 @@
 {
 
 constexpr unsigned status_unauthorized = 401;
-/// A grant takes one or two round trips between regions where a leader answers.
-constexpr milliseconds max_first_wait{1000};
 
 /// Regions that are on both lists, of which an empty one allows all; empty if there is none.
 std::optional<std::vector<region_name>> regions_on_both(std::vector<region_name> const& left,
@@ -41,8 +39,6 @@
         credit_.configure(config);
     // Requests that have passed the checks keep the table that they were checked with.
     access_ = std::make_shared<access_table const>(std::move(config));
-    if (!table_ && access_->requires_key() && settings_.key_lease.strict)
-        first_lease_by_ = instant::clock::now() + max_first_wait;
     log_change(log_level::info, "access",
                std::string("keys_required=") + (access_->requires_key() ? "1" : "0") +
                    " workspaces=" + std::to_string(access_->workspaces()) +
@@ -74,9 +70,11 @@
     instant const now = instant::clock::now();
     item->priority = item->route->priority;
     item->regions = item->route->regions;
-    bool const needs_key = item->access != nullptr && item->access->requires_key() &&
-                           !item->access->is_public(item->route->name);
-    if (!needs_key)
+    bool const requires_key = item->access != nullptr && item->access->requires_key();
+    // A view that is older than the table of workspaces knows of no keys, so that strict revocation
+    // holds whatever the view says.
+    bool const is_checked = requires_key || settings_.key_lease.strict;
+    if (!is_checked || (requires_key && item->access->is_public(item->route->name)))
         return true;
 
     // Lease: whether this host can tell which keys are valid.
@@ -93,6 +91,8 @@
         return false;
     }
 
+    if (!requires_key)
+        return true;
     // Key: identifies the workspace, whose priority and regions apply.
     if (!identify(item))
         return false;
--- a/src/fleet/gateway_leases.cpp
+++ b/src/fleet/gateway_leases.cpp
@@ -16,11 +16,16 @@
 /// Hosts that take over for a leaving one are ready already.
 constexpr double leaving_retry_after_ms = 100;
 constexpr unsigned status_over_limit = 429;
+/// A lease request or its grant may be lost: after this, a little more than a round trip between
+/// regions, requests that still wait are asked for again.
+constexpr milliseconds ask_again_interval{150};
+/// Requests of one workspace that may wait, so that others have room.
+constexpr std::size_t max_held_of_workspace = 64;
 /// Least time that a request waits for credit: two round trips between regions.
 constexpr milliseconds min_hold{250};
-/// Part of a route's latency objective that its requests may wait for credit. On a saturated link the
-/// exchange with the leader takes longer than two round trips, and a refusal sends the caller back
-/// into the same overload.
+/// Part of a route's latency objective that its requests may wait for credit. On a saturated link
+/// the exchange with the leader takes longer than two round trips, and a refusal sends the caller
+/// back into the same overload.
 constexpr double hold_fraction = 0.5;
 
 } // namespace
@@ -34,7 +39,7 @@
 {
     lease_need out;
     bool const has_limits = limits_in_force() && access_ && access_->has_limits();
-    out.active = access_ && access_->requires_key() && (settings_.key_lease.strict || has_limits);
+    out.active = settings_.key_lease.strict || (access_ && access_->requires_key() && has_limits);
     out.has_uses = has_limits && credit_.has_report(now);
     out.urgent = has_limits && credit_.is_report_urgent();
     out.entry_hosts = board_.entry_hosts();
@@ -59,6 +64,8 @@
         ++counters_.hold_timeouts;
         refuse_without_credit(item, "no credit for the workspace in time", now);
     }
+    if (!held_.empty() && now >= ask_again_at_)
+        decide_held(now);
     lease_need const need = need_of_lease(now);
     if (need.active)
         lease_.log_changes(now);
@@ -67,6 +74,8 @@
     // Without a session, the next one that opens sends the request.
     if (asked)
         due = std::min(due, lease_.next_request(need_of_lease(now)));
+    if (!held_.empty())
+        due = std::min(due, ask_again_at_);
     if (due == instant::max())
         return;
     lease_timer_.expires_at(timer_point(std::max(due, now + min_timer_wait)));
@@ -102,6 +111,13 @@
         return;
     if (limits_in_force())
         credit_.apply(grant.lines, *sent_at, now);
+    decide_held(now);
+    drive_lease(now);
+}
+
+void gateway_node::decide_held(instant now)
+{
+    ask_again_at_ = now + ask_again_interval;
     for (auto& held : held_.take_all())
     {
         if (held.item->finished)
@@ -112,7 +128,6 @@
         else if (held.item->has_credit)
             dispatch(held.item);
     }
-    drive_lease(now);
 }
 
 bool gateway_node::take_credit(call_ptr const& item, instant now)
@@ -146,7 +161,11 @@
         return refuse_without_credit(item, "no credit for the workspace, and no control host", now);
     milliseconds const hold(static_cast<std::int64_t>(item->route->objective_ms * hold_fraction));
     instant const until = std::min(item->deadline, now + std::max(min_hold, hold));
-    if (is_cutting_short_ || !held_.add(item, until))
+    std::size_t const waiting = held_.count(
+        [&item](call_ptr const& other) { return other->workspace->name == item->workspace->name; });
+    if (held_.empty())
+        ask_again_at_ = now + ask_again_interval;
+    if (is_cutting_short_ || waiting >= max_held_of_workspace || !held_.add(item, until))
         return refuse_without_credit(item, "too many requests wait for credit", now);
     ++counters_.held;
     drive_lease(now);
--- a/src/fleet/gateway_node.cpp
+++ b/src/fleet/gateway_node.cpp
@@ -19,6 +19,8 @@
 constexpr milliseconds max_pause{1000};
 /// Sessions are reopened within this time after a pause, if control hosts are reachable at all.
 constexpr milliseconds resync_window{1500};
+/// A grant takes one or two round trips between regions where a leader answers.
+constexpr milliseconds max_first_wait{1000};
 /// Fractions of the fleet's retry budget that hosts use: tokens kept by hosts may be spent in one
 /// window with those earned in it, and hosts that have just joined are not counted yet.
 constexpr double ratio_fraction = 0.9;
@@ -162,6 +164,8 @@
     limits.header_timeout = milliseconds(config.limits.header_timeout_ms) * 3 / 2;
     limits.idle_timeout = milliseconds(config.limits.idle_timeout_ms) * 3 / 2;
     caller_server_->set_limits(limits);
+    if (!table_ && settings_.key_lease.strict)
+        first_lease_by_ = instant::clock::now() + max_first_wait;
     board_.configure(config);
     table_ = std::make_shared<route_table>(std::move(config));
 }
--- a/src/fleet/gateway_node.hpp
+++ b/src/fleet/gateway_node.hpp
@@ -224,6 +224,8 @@
     void return_credit(call& item);
     /// Answers the requests that wait for credit when this host stops.
     void refuse_held();
+    /// Decides all held requests again; those without credit ask for it once more.
+    void decide_held(instant now);
     std::string lease_metrics() const;
     /// Sets the workspace of the request's key and what follows from it. False if the request was
     /// answered.
@@ -283,6 +285,8 @@
     boost::asio::steady_timer lease_timer_;
     /// Requests that wait for credit. A caller waits no longer than two round trips to the leader.
     held_queue<call_ptr> held_{256};
+    /// When requests that wait for credit are asked for again.
+    instant ask_again_at_;
     std::uint64_t view_index_ = 0;
     /// Control host from which this host receives its view; empty while there is none.
     endpoint_text source_;
--- a/src/fleet/registry_leases.cpp
+++ b/src/fleet/registry_leases.cpp
@@ -13,8 +13,9 @@
 
 /// Entry hosts ask again after at most a second; a grant that returns later is of little use.
 constexpr milliseconds route_timeout{1500};
-/// For the leader's disk to confirm, and for its state to apply, what the group has committed.
-constexpr milliseconds max_wait_for_apply{400};
+/// For the leader's disk to confirm, and for its state to apply, what the group has committed. With
+/// the way to the leader it stays below the lag of reports that credit lines allow for.
+constexpr milliseconds max_wait_for_apply{150};
 /// Above the number of entry hosts of any deployment (docs/CAPACITY.md).
 constexpr std::size_t max_routes = 4096;
 /// Urgent requests of 0.4 s at 1,000 hosts.
--- a/src/routing/upstream_ranking.cpp
+++ b/src/routing/upstream_ranking.cpp
@@ -105,10 +105,27 @@
     return spread_over_regions(settings_.region, capacities, regions.size());
 }
 
+std::vector<region_name>
+upstream_selector::known_regions_of(std::vector<region_name> const& allowed) const
+{
+    std::set<region_name> known;
+    for (auto const& [domain, region] : settings_.regions)
+        known.insert(region);
+    std::vector<region_name> out;
+    for (auto const& region : known)
+        if (is_allowed(region, allowed))
+            out.push_back(region);
+    if (out.size() == known.size())
+        out.clear();
+    return out;
+}
+
 gradual_shares& upstream_selector::region_shares_of(service_name const& service,
-                                                    std::vector<region_name> const& allowed,
+                                                    std::vector<region_name> const& listed,
                                                     instant now)
 {
+    std::vector<region_name> const allowed =
+        listed.empty() ? std::vector<region_name>() : known_regions_of(listed);
     auto const known = region_shares_.find({service, allowed});
     if (known != region_shares_.end())
         return known->second;
@@ -121,6 +138,12 @@
 
 void upstream_selector::update_region_shares(instant now)
 {
+    std::erase_if(region_shares_,
+                  [this](auto const& item)
+                  {
+                      service_name const& service = item.first.first;
+                      return !by_service_.contains(service) && !services_.contains(service);
+                  });
     for (auto& [key, shares] : region_shares_)
     {
         auto const& [service, allowed] = key;
--- a/src/routing/upstream_selector.hpp
+++ b/src/routing/upstream_selector.hpp
@@ -242,10 +242,13 @@
     /// Estimated round trip to the upstream.
     double round_trip_ms(upstream_state const& state) const;
     service_time& service_time_of(route_config const& route);
+    /// The listed regions that exist, sorted; empty if these are all, so that lists which mean the
+    /// same share their state.
+    std::vector<region_name> known_regions_of(std::vector<region_name> const& allowed) const;
     /// Shares of the regions in this region's requests of the service that only `allowed` regions
     /// may serve, or all if there are none listed.
     gradual_shares& region_shares_of(service_name const& service,
-                                     std::vector<region_name> const& allowed, instant now);
+                                     std::vector<region_name> const& listed, instant now);
     /// Shares that follow from the view, without regard to former ones.
     std::vector<region_share> target_shares(service_name const& service,
                                             std::vector<region_name> const& allowed) const;
--- a/src/transport/http_session_write.cpp
+++ b/src/transport/http_session_write.cpp
@@ -170,6 +170,8 @@
 
 void http_session::give_up(give_up_reason reason)
 {
+    // Closing abandons the running requests, the last of which may hold the only other reference.
+    auto const self = shared_from_this();
     auto& counters = server_->counters;
     ++(reason == give_up_reason::memory ? counters.given_up_for_memory
                                         : counters.given_up_without_progress);
@@ -203,7 +205,10 @@
         }
         if (least == nullptr)
             return;
+        std::uint64_t const before = counters.held_bytes;
         least->give_up(give_up_reason::memory);
+        if (counters.held_bytes >= before)
+            return;
     }
 }
 
--- a/test/correctness/fleet/access_test.cpp
+++ b/test/correctness/fleet/access_test.cpp
@@ -69,6 +69,20 @@
     return {"no upstream got the request"};
 }
 
+/// Reads the log until it contains `text`, since processes write their lines a little later than
+/// they answer; returns what was read last.
+std::string await_log(platform_fleet& fleet, std::string const& process, std::string const& text)
+{
+    auto const until = guavashed::instant::clock::now() + guavashed::milliseconds(2000);
+    std::string log = fleet.log_of(process);
+    while (log.find(text) == std::string::npos && guavashed::instant::clock::now() < until)
+    {
+        std::this_thread::sleep_for(std::chrono::milliseconds(20));
+        log = fleet.log_of(process);
+    }
+    return log;
+}
+
 } // namespace
 
 // Guards against a caller that is served without a valid key, one that poses as another workspace,
@@ -126,7 +140,7 @@
         CHECK(fleet.log_of(fleet.control_name(i)).find("hush") == std::string::npos);
     for (unsigned i = 0; i < entries; ++i)
     {
-        std::string const log = fleet.log_of(fleet.entry_name(i));
+        std::string const log = await_log(fleet, fleet.entry_name(i), "workspace=acme");
         CHECK(log.find("workspace=acme") != std::string::npos);
         CHECK(log.find("hush") == std::string::npos);
     }
