Exercise workspaces in the randomised soak

Cause: the soak ran without keys, so revocation and request limits were tested only by scripted faults.

Callers send valid, removed and future keys and a forged name of a workspace. At random steps a PATCH replaces the oldest key. New draws come from generators of their own.

--- a/standin/platform_caller.cpp
+++ b/standin/platform_caller.cpp
@@ -91,6 +91,10 @@
         {"X-Guavashed-Request-Deadline", std::to_string(settings_.deadline_ms)},
         {"Cookie",
          "X-Guavashed-Affinity-Key=" + std::to_string(random_() % settings_.affinity_key_count)}};
+    std::string const key = keys_.empty() ? "" : keys_[key_random_() % keys_.size()];
+    if (!key.empty())
+        call.request.fields.insert(call.request.fields.end(),
+                                   {{"Api-Key", key}, {"X-Guavashed-Tenant", "forged"}});
     call.request.body = once ? "confirm " + id : "";
     call.deadline = instant::clock::now() + milliseconds(settings_.deadline_ms);
     call.connect_by = instant::clock::now() + connect_timeout;
@@ -100,6 +104,7 @@
         record.at_most_once = once;
         record.at = instant::clock::now();
         record.entry = entry;
+        record.key = key;
         ++in_flight_;
     }
     client_.start(std::move(call),
--- a/standin/platform_caller.hpp
+++ b/standin/platform_caller.hpp
@@ -49,6 +49,8 @@
     double took_ms = 0;
     /// Address of the entry host.
     std::string entry;
+    /// Empty when no key was sent.
+    std::string key;
 };
 
 /// Sends requests at a constant rate to the entry hosts that lookups return, over persistent
@@ -63,6 +65,11 @@
     void start();
     /// Stops sending and waits up to 10 s until every request in flight has its outcome.
     void finish();
+    /// Sends one of these keys with each request from now on, and a forged name of a workspace.
+    void set_keys(std::vector<std::string> const& keys)
+    {
+        boost::asio::post(event_loop_.context(), [this, keys] { keys_ = keys; });
+    }
     /// All requests sent so far, by request id.
     std::map<std::string, platform_call> calls() const;
 
@@ -74,6 +81,8 @@
 
     platform_caller_settings settings_;
     std::mt19937_64 random_;
+    std::mt19937_64 key_random_{settings_.seed};
+    std::vector<std::string> keys_;
     std::vector<std::string> entries_;
     guavashed::instant next_lookup_;
     std::size_t lookup_index_ = 0;
--- a/test/fleet/platform_fleet.cpp
+++ b/test/fleet/platform_fleet.cpp
@@ -277,8 +277,12 @@
     return response ? response->status : 0;
 }
 
-std::string platform_fleet::document(std::uint64_t version) const
+std::string platform_fleet::document(std::uint64_t version, std::string const& upsert) const
 {
+    std::string const start = "{\"version\":\"r" + std::to_string(version) +
+                              "\",\"base_version\":\"r" + std::to_string(accepted_) + "\",";
+    if (!upsert.empty())
+        return start + "\"upsert\":" + upsert + "}";
     auto const route = [this](char const* prefix, char const* kind)
     {
         return "{\"host\":\"roster.example\",\"path_prefix\":\"" + std::string(prefix) +
@@ -298,8 +302,7 @@
         options_.tenants.empty()
             ? ""
             : ",\"open\":" + route("/open/", "safe").insert(1, "\"public\":true,");
-    return "{\"version\":\"r" + std::to_string(version) + "\",\"base_version\":\"r" +
-           std::to_string(accepted_) + "\",\"routes\":{\"check\":" + route("/check/", "safe") +
+    return start + "\"routes\":{\"check\":" + route("/check/", "safe") +
            ",\"confirm\":" + route("/confirm/", "unsafe") + open_route + unused +
            "},\"services\":{\"roster\":{\"health_path\":\"/health\",\"max_connections\":300,"
            "\"warmup_s\":2.0,\"warmup_per_s\":6}}," +
@@ -308,15 +311,15 @@
            "\"max_body_bytes\":1048576,\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000}}";
 }
 
-bool platform_fleet::configure(std::uint64_t version, double limit_s)
+bool platform_fleet::configure(std::uint64_t version, double limit_s, std::string const& upsert)
 {
     constexpr unsigned conflict = 412;
-    auto const until =
-        std::chrono::steady_clock::now() + std::chrono::milliseconds(int(limit_s * 1000));
+    auto const until = std::chrono::steady_clock::now() + milliseconds(int(limit_s * 1000));
     for (unsigned i = 0; std::chrono::steady_clock::now() < until; ++i)
     {
         unsigned const control = i % options_.controls;
-        unsigned const status = request_control(control, "PUT", "/v1/config", document(version));
+        unsigned const status = request_control(control, upsert.empty() ? "PUT" : "PATCH",
+                                                "/v1/config", document(version, upsert));
         if (status == 200)
         {
             accepted_ = version;
--- a/test/fleet/platform_fleet.hpp
+++ b/test/fleet/platform_fleet.hpp
@@ -84,8 +84,8 @@
     /// response.
     unsigned request_entry(unsigned entry, guavashed::http_request request);
     /// Submits a new configuration version to the control hosts in turn until one accepts it.
-    /// Returns false when none does so within `limit_s`.
-    bool configure(std::uint64_t version, double limit_s = 10);
+    /// Returns false when none does so within `limit_s`. Sends a PATCH if `upsert` is not empty.
+    bool configure(std::uint64_t version, double limit_s = 10, std::string const& upsert = {});
     /// Replaces the table of workspaces in the configurations that are submitted from now on.
     void set_tenants(std::string tenants) { options_.tenants = std::move(tenants); }
     /// Configuration version that a control host returns; 0 when the request fails.
@@ -131,7 +131,7 @@
     void run_upstream(unsigned i, unsigned warmup_ms);
     std::vector<std::string> control_addresses() const;
     guavashed::http_outcome call(guavashed::http_call call);
-    std::string document(std::uint64_t version) const;
+    std::string document(std::uint64_t version, std::string const& upsert) const;
 
     platform_fleet_options options_;
     child_processes processes_;
--- a/test/fleet/platform_soak.cpp
+++ b/test/fleet/platform_soak.cpp
@@ -1,14 +1,15 @@
 /// \file
 /// Randomised fault injection run of the platform daemon as real processes. Injects sequential and
 /// overlapping faults and changes: signals, deleted data directories, relay faults, configuration
-/// changes, evacuations. Checks the invariants from the records of callers, upstreams and the
-/// operator. The same seed draws the same faults. Exits with 1 when an invariant was violated or
-/// the fleet did not start, and with 2 when the run could not be completed.
+/// changes, changes of keys, evacuations. Checks the invariants from the records of callers,
+/// upstreams and the operator. The same seed draws the same faults. Exits with 1 when an invariant
+/// was violated or the fleet did not start, and with 2 when the run could not be completed.
 #include "arguments.hpp"
 #include "platform_caller.hpp"
 #include "platform_fleet.hpp"
 #include "platform_invariants.hpp"
 #include "statement_checks.hpp"
+#include "workspace_keys.hpp"
 
 #include <algorithm>
 #include <csignal>
@@ -37,8 +38,10 @@
 class fault_source
 {
 public:
-    fault_source(platform_fleet& fleet, std::uint64_t seed)
-        : fleet_(fleet), random_(seed), statement_random_(seed), link_random_(seed)
+    fault_source(platform_fleet& fleet, standin::platform_caller& caller, workspace_keys& keys,
+                 std::uint64_t seed)
+        : fleet_(fleet), caller_(caller), keys_(keys), random_(seed), statement_random_(seed),
+          link_random_(seed)
     {
     }
 
@@ -62,6 +65,8 @@
             state_leaving();
         if (link_random_() % steps_between_odd_links == 0)
             disturb_answers();
+        if (keys_.step())
+            submit(fleet_.accepted_version() + 1, "{\"tenants\":" + keys_.table() + "}");
     }
 
     /// Reverts all faults in effect.
@@ -269,8 +274,16 @@
     void configure()
     {
         std::uint64_t const version = fleet_.accepted_version() + 1 + random_() % 3;
-        bool const was_accepted = fleet_.configure(version, 3);
-        print_action("configure " + std::to_string(version) +
+        submit(version);
+    }
+    void submit(std::uint64_t version, std::string const& upsert = {})
+    {
+        caller_.set_keys(keys_.offered());
+        fleet_.set_tenants(keys_.table());
+        bool const was_accepted = fleet_.configure(version, 3, upsert);
+        if (was_accepted)
+            keys_.note_acknowledged();
+        print_action((upsert.empty() ? "configure " : "replace a key, ") + std::to_string(version) +
                      (was_accepted ? "" : ": not accepted within 3 s"));
         check_version();
     }
@@ -297,6 +310,8 @@
     }
 
     platform_fleet& fleet_;
+    standin::platform_caller& caller_;
+    workspace_keys& keys_;
     std::mt19937_64 random_;
     std::mt19937_64 statement_random_;
     std::mt19937_64 link_random_;
@@ -323,7 +338,10 @@
     options.pause_share = 0.01;
     options.relays = true;
     double const duration_s = given.number("duration-s", 30);
-    std::cout << "seed " << options.seed << ", " << duration_s << " s\n";
+    workspace_keys keys(options.seed);
+    options.tenants = keys.table();
+    options.extra_bounds = keys.settings();
+    std::cout << "seed " << options.seed << ", " << duration_s << " s" << keys.settings() << "\n";
     platform_fleet fleet(options);
     if (!fleet.start())
     {
@@ -331,8 +349,9 @@
         return 1;
     }
     standin::platform_caller caller(fleet.caller_settings(calls_per_s, options.seed));
+    caller.set_keys(keys.offered());
     caller.start();
-    fault_source faults(fleet, options.seed);
+    fault_source faults(fleet, caller, keys, options.seed);
     auto const until = steady::now() + std::chrono::milliseconds(int(duration_s * 1000));
     while (steady::now() < until)
     {
@@ -351,6 +370,7 @@
     violations.insert(violations.end(), report.violations.begin(), report.violations.end());
     auto const statements = check_statements(caller.calls(), fleet.records(), faults.disturbed());
     violations.insert(violations.end(), statements.begin(), statements.end());
+    keys.check(caller.calls(), fleet.records(), violations);
     std::cout << to_string(report.counts) << "\n";
     for (auto const& violation : violations)
         std::cout << "BROKEN: " << violation << "\n";
