--- a/test/correctness/access/access_lease_test.cpp
+++ b/test/correctness/access/access_lease_test.cpp
@@ -128,19 +128,29 @@
     }
 }
 
+// Guards against requests whose bytes between regions cost a large fleet more than it earns.
 SCENARIO("an entry host asks as often as it needs to")
 {
     entry host;
     host.lease.accept(host.ask(), host.now);
 
+    host.need.entry_hosts = 50;
     CHECK(host.until_next() == milliseconds(300));
-    host.need.entry_hosts = 250;
-    CHECK(host.until_next() == milliseconds(500));
     host.need.has_uses = true;
     CHECK(host.until_next() == milliseconds(300));
     host.need.urgent = true;
     CHECK(host.until_next() == milliseconds(50));
 
+    WHEN("three times as many hosts share the leader")
+    {
+        host.need = {true, false, false, 150};
+        CHECK(host.until_next() == milliseconds(750));
+        host.need.has_uses = true;
+        CHECK(host.until_next() == milliseconds(600));
+        host.need.urgent = true;
+        CHECK(host.until_next() == milliseconds(150));
+    }
+
     WHEN("nobody has answered for a while")
     {
         host.ask();
