--- a/test/correctness/routing/placement_moves_test.cpp
+++ b/test/correctness/routing/placement_moves_test.cpp
@@ -202,6 +202,17 @@
     }
 }
 
+// Guards against moves beyond the operators' target. Listed in KNOWN-RED.txt: three of the six
+// changes miss it.
+TEST_CASE("a change of the upstreams moves at most 1.15 times what it must", "[!mayfail]")
+{
+    for (auto const& change : changes())
+    {
+        INFO(change.name << ", callers in " << change.callers);
+        CHECK(moved(change, method::selector) <= 1.15 * least(change));
+    }
+}
+
 // Guards against saving moves by leaving some regions overloaded and others idle.
 TEST_CASE("after each change all regions are equally utilised")
 {
