--- a/src/access/access_lease.cpp
+++ b/src/access/access_lease.cpp
@@ -19,9 +19,9 @@
 constexpr milliseconds min_idle_interval{300};
 constexpr milliseconds min_report_interval{300};
 constexpr milliseconds max_interval{1000};
-/// The leader handles at most 200 idle requests, 250 reports and 1,000 urgent requests a second, up to
-/// the number of hosts at which the intervals reach their maximum. With 500, 1,000 and 5,000, the
-/// bytes between regions cost a fleet of 300 hosts more than what it gained (docs/CAPACITY.md).
+/// The leader handles at most 200 idle requests, 250 reports and 1,000 urgent requests a second, up
+/// to the number of hosts at which the intervals reach their maximum. With 500, 1,000 and 5,000,
+/// the bytes between regions cost a fleet of 300 hosts more than what it gained (docs/CAPACITY.md).
 constexpr microseconds idle_interval_per_host{5000};
 constexpr microseconds report_interval_per_host{4000};
 constexpr microseconds urgent_interval_per_host{1000};
