Rank homes in one pass, and know the regions of a deployment once

Each request for an object went over all upstreams of each region twice, first for their slots and then for their scores, and each request with a list of regions built the set of all regions. The part of a region scales all its scores alike, so it is applied to the best one; the regions are collected when the selector is made.

--- a/src/routing/upstream_ranking.cpp
+++ b/src/routing/upstream_ranking.cpp
@@ -86,9 +86,6 @@
 upstream_selector::target_shares(service_name const& service,
                                  std::vector<region_name> const& allowed) const
 {
-    std::set<region_name> regions;
-    for (auto const& [domain, region] : settings_.regions)
-        regions.insert(region);
     std::vector<region_capacity> capacities;
     if (auto const homes = homes_.find(service); homes != homes_.end())
         for (auto const& [region, upstreams] : homes->second)
@@ -102,20 +99,17 @@
             if (slots > 0)
                 capacities.push_back({region, slots});
         }
-    return spread_over_regions(settings_.region, capacities, regions.size());
+    return spread_over_regions(settings_.region, capacities, regions_.size());
 }
 
 std::vector<region_name>
 upstream_selector::known_regions_of(std::vector<region_name> const& allowed) const
 {
-    std::set<region_name> known;
-    for (auto const& [domain, region] : settings_.regions)
-        known.insert(region);
     std::vector<region_name> out;
-    for (auto const& region : known)
+    for (auto const& region : regions_)
         if (is_allowed(region, allowed))
             out.push_back(region);
-    if (out.size() == known.size())
+    if (out.size() == regions_.size())
         out.clear();
     return out;
 }
@@ -197,22 +191,28 @@
     if (homes == homes_.end())
         return;
     two_highest<upstream_state const> ranked;
+    double highest = 0;
     for (auto const& [region, share] : shares)
     {
         auto const of_region = homes->second.find(region);
         if (share <= 0 || of_region == homes->second.end())
             continue;
         double slots = 0;
-        for (upstream_state const* state : of_region->second)
-            if (state->may_be_home())
-                slots += state->row.slots;
         two_highest<upstream_state const> ranked_here;
         for (upstream_state const* state : of_region->second)
-            if (state->may_be_home())
-                ranked_here.add(state, home_score(object, state->row.id,
-                                                  share * state->row.slots / std::max(1.0, slots)));
-        if (ranked_here.highest() > ranked.highest())
+        {
+            if (!state->may_be_home())
+                continue;
+            slots += state->row.slots;
+            ranked_here.add(state, home_score(object, state->row.id, state->row.slots));
+        }
+        // Scores are proportional to weights, so that the region's part can be applied to the best.
+        double const score = ranked_here.highest() * share / std::max(1.0, slots);
+        if (score > highest)
+        {
+            highest = score;
             ranked = ranked_here;
+        }
     }
     if (ranked.first == nullptr)
         return;
--- a/src/routing/upstream_selector.cpp
+++ b/src/routing/upstream_selector.cpp
@@ -40,6 +40,8 @@
 upstream_selector::upstream_selector(selector_settings settings, std::uint64_t seed)
     : settings_(std::move(settings)), random_(seed)
 {
+    for (auto const& [domain, region] : settings_.regions)
+        regions_.insert(region);
     settings_.max_spill_ratio = std::min(settings_.max_spill_ratio, settings_.max_region_shift);
 }
 
--- a/src/routing/upstream_selector.hpp
+++ b/src/routing/upstream_selector.hpp
@@ -265,6 +265,8 @@
                           instant now);
 
     selector_settings settings_;
+    /// Regions of the deployment.
+    std::set<region_name> regions_;
     std::mt19937_64 random_;
     std::map<upstream_name, upstream_state> upstreams_;
     /// Pointers into `upstreams_`, by service.
