--- a/test/correctness/fleet/access_test.cpp
+++ b/test/correctness/fleet/access_test.cpp
@@ -1,5 +1,5 @@
 // Tests the keys of workspaces with the platform daemon as real processes.
-#include "platform_fleet.hpp"
+#include "fleet_options.hpp"
 
 #include <algorithm>
 #include <catch2/catch.hpp>
@@ -17,10 +17,7 @@
 
 platform_fleet_options options()
 {
-    platform_fleet_options out;
-    out.work_folder = std::string(GUAVASHED_BINARY_FOLDER) + "/run/platform-access";
-    out.binary = std::string(GUAVASHED_BINARY_FOLDER) + "/guavashed-platform";
-    out.base_port = 24900;
+    platform_fleet_options out = fleet_options("platform-access", 24900);
     out.entries = entries;
     out.upstreams = 2;
     return out;
--- a/test/correctness/fleet/broken_answer_test.cpp
+++ b/test/correctness/fleet/broken_answer_test.cpp
@@ -2,7 +2,7 @@
 #include "../../error/raw_caller.hpp"
 #include "../../error/scripted_upstream.hpp"
 #include "base/endpoint.hpp"
-#include "platform_fleet.hpp"
+#include "fleet_options.hpp"
 
 #include <catch2/catch.hpp>
 
@@ -23,10 +23,7 @@
         {"between two fields, by a reset", {{head}, "", false, true}},
     }));
     INFO(name);
-    platform_fleet_options options;
-    options.work_folder = std::string(GUAVASHED_BINARY_FOLDER) + "/run/broken-answer";
-    options.binary = std::string(GUAVASHED_BINARY_FOLDER) + "/guavashed-platform";
-    options.base_port = 24300;
+    platform_fleet_options options = fleet_options("broken-answer", 24300);
     options.entries = 1;
     options.upstreams = 0;
     platform_fleet fleet(options);
--- a/test/correctness/fleet/control_test.cpp
+++ b/test/correctness/fleet/control_test.cpp
@@ -2,7 +2,7 @@
 // entries and orders that are out of order.
 #include "../../error/raw_caller.hpp"
 #include "base/endpoint.hpp"
-#include "platform_fleet.hpp"
+#include "fleet_options.hpp"
 
 #include <catch2/catch.hpp>
 #include <csignal>
@@ -20,10 +20,7 @@
 
 platform_fleet_options options_of(std::string const& name, unsigned base_port)
 {
-    platform_fleet_options options;
-    options.work_folder = std::string(GUAVASHED_BINARY_FOLDER) + "/run/control-" + name;
-    options.binary = std::string(GUAVASHED_BINARY_FOLDER) + "/guavashed-platform";
-    options.base_port = base_port;
+    platform_fleet_options options = fleet_options("control-" + name, base_port);
     options.entries = 1;
     options.upstreams = 2;
     return options;
--- a/test/correctness/fleet/lease_test.cpp
+++ b/test/correctness/fleet/lease_test.cpp
@@ -1,5 +1,5 @@
 // Tests of the lease of keys and of limits with the platform daemon as real processes.
-#include "platform_fleet.hpp"
+#include "fleet_options.hpp"
 
 #include <algorithm>
 #include <atomic>
@@ -22,10 +22,7 @@
 
 platform_fleet_options options_of(std::string const& name, unsigned base_port)
 {
-    platform_fleet_options options;
-    options.work_folder = std::string(GUAVASHED_BINARY_FOLDER) + "/run/platform-" + name;
-    options.binary = std::string(GUAVASHED_BINARY_FOLDER) + "/guavashed-platform";
-    options.base_port = base_port;
+    platform_fleet_options options = fleet_options("platform-" + name, base_port);
     options.controls = 3;
     options.entries = 2;
     return options;
--- a/test/correctness/fleet/platform_test.cpp
+++ b/test/correctness/fleet/platform_test.cpp
@@ -1,6 +1,6 @@
 // Tests of the platform daemon as real processes with simulated callers and upstreams.
+#include "fleet_options.hpp"
 #include "platform_caller.hpp"
-#include "platform_fleet.hpp"
 #include "platform_invariants.hpp"
 
 #include <catch2/catch.hpp>
@@ -14,10 +14,7 @@
 
 platform_fleet_options options_of(std::string const& name, unsigned base_port)
 {
-    platform_fleet_options options;
-    options.work_folder = std::string(GUAVASHED_BINARY_FOLDER) + "/run/platform-" + name;
-    options.binary = std::string(GUAVASHED_BINARY_FOLDER) + "/guavashed-platform";
-    options.base_port = base_port;
+    platform_fleet_options options = fleet_options("platform-" + name, base_port);
     return options;
 }
 
--- a/test/correctness/fleet/refusal_test.cpp
+++ b/test/correctness/fleet/refusal_test.cpp
@@ -2,7 +2,7 @@
 #include "../../error/raw_caller.hpp"
 #include "../../error/scripted_upstream.hpp"
 #include "base/endpoint.hpp"
-#include "platform_fleet.hpp"
+#include "fleet_options.hpp"
 
 #include <catch2/catch.hpp>
 #include <thread>
@@ -58,10 +58,7 @@
 private:
     static platform_fleet_options options()
     {
-        platform_fleet_options out;
-        out.work_folder = std::string(GUAVASHED_BINARY_FOLDER) + "/run/refusal";
-        out.binary = std::string(GUAVASHED_BINARY_FOLDER) + "/guavashed-platform";
-        out.base_port = 24700;
+        platform_fleet_options out = fleet_options("refusal", 24700);
         out.entries = 1;
         out.upstreams = 0;
         return out;
--- a/test/correctness/fleet/source_test.cpp
+++ b/test/correctness/fleet/source_test.cpp
@@ -1,6 +1,6 @@
 // Guards against an entry host that misses a change because the control host that it takes its view
 // from has stopped working, while its sessions with others are open.
-#include "platform_fleet.hpp"
+#include "fleet_options.hpp"
 
 #include <catch2/catch.hpp>
 #include <csignal>
@@ -37,10 +37,7 @@
 SCENARIO(
     "a change reaches an entry host whose source is frozen, though the others fail right after")
 {
-    platform_fleet_options options;
-    options.work_folder = std::string(GUAVASHED_BINARY_FOLDER) + "/run/platform-source";
-    options.binary = std::string(GUAVASHED_BINARY_FOLDER) + "/guavashed-platform";
-    options.base_port = 23800;
+    platform_fleet_options options = fleet_options("platform-source", 23800);
     options.entries = 1;
     platform_fleet fleet(options);
     REQUIRE(fleet.start());
--- a/test/correctness/fleet/statement_test.cpp
+++ b/test/correctness/fleet/statement_test.cpp
@@ -1,7 +1,7 @@
 // Tests of what upstreams say of themselves in their answers, with the platform daemon as real
 // processes: that they leave, and that they want no requests for a while.
+#include "fleet_options.hpp"
 #include "platform_caller.hpp"
-#include "platform_fleet.hpp"
 #include "platform_invariants.hpp"
 #include "statement_checks.hpp"
 
@@ -19,10 +19,7 @@
 
 platform_fleet_options options_of(std::string const& name, unsigned base_port)
 {
-    platform_fleet_options options;
-    options.work_folder = std::string(GUAVASHED_BINARY_FOLDER) + "/run/statement-" + name;
-    options.binary = std::string(GUAVASHED_BINARY_FOLDER) + "/guavashed-platform";
-    options.base_port = base_port;
+    platform_fleet_options options = fleet_options("statement-" + name, base_port);
     options.entries = 1;
     return options;
 }
--- a/test/correctness/fleet/stop_test.cpp
+++ b/test/correctness/fleet/stop_test.cpp
@@ -1,8 +1,8 @@
 // Guards against requests that a planned stop of their entry host cuts off without an answer.
 #include "../../error/raw_caller.hpp"
 #include "base/endpoint.hpp"
+#include "fleet_options.hpp"
 #include "platform_caller.hpp"
-#include "platform_fleet.hpp"
 #include "platform_invariants.hpp"
 
 #include <atomic>
@@ -25,10 +25,7 @@
 
 platform_fleet_options options_for(unsigned work_ms, double grace_s)
 {
-    platform_fleet_options options;
-    options.work_folder = std::string(GUAVASHED_BINARY_FOLDER) + "/run/stop";
-    options.binary = std::string(GUAVASHED_BINARY_FOLDER) + "/guavashed-platform";
-    options.base_port = 24800;
+    platform_fleet_options options = fleet_options("stop", 24800);
     options.controls = 3;
     options.entries = 2;
     options.upstreams = 8;
