Call one piece of code where the parts for workspaces had copies

- registry_node asks holds_acknowledged for reads of the configuration as well as for leases, which had the same condition under two names.
- The lease metrics are added to those of their process instead of formatting lines of their own.
- gateway_node makes the limits that follow from its settings once; its pass-through to access_lease::keys_usable, and the unused time of credit_account::refund, are gone.
- regions_on_both and the check of a configuration use is_allowed; quota_ledger has one look-up of the last exchange.

--- a/apps/guavashed.cpp
+++ b/apps/guavashed.cpp
@@ -1,5 +1,6 @@
 /// \file
 /// The operator command-line tool: plan, confirm, drain, status, history, explain and reports.
+#include "base/text_file.hpp"
 #include "daemon/settings.hpp"
 #include "reports/burn_report.hpp"
 #include "transport/operator_client.hpp"
@@ -89,12 +90,10 @@
 
 std::string read_file(std::string const& path)
 {
-    std::ifstream file(path);
-    if (!file)
+    auto text = read_text_file(path);
+    if (!text)
         throw command_failure{exit_usage, "cannot open " + path};
-    std::ostringstream text;
-    text << file.rdbuf();
-    return text.str();
+    return std::move(*text);
 }
 
 void write_file(std::string const& path, std::string const& text)
--- a/src/access/access_lease.cpp
+++ b/src/access/access_lease.cpp
@@ -46,11 +46,6 @@
 /// An election and new sessions, in milliseconds.
 constexpr double max_outage_ms = 1500;
 
-double ms_between(instant from, instant to)
-{
-    return std::chrono::duration<double, std::milli>(to - from).count();
-}
-
 milliseconds interval_for(std::size_t entry_hosts, microseconds per_host, milliseconds least)
 {
     auto const shared = std::chrono::duration_cast<milliseconds>(per_host * entry_hosts);
--- a/src/access/credit_account.cpp
+++ b/src/access/credit_account.cpp
@@ -33,11 +33,6 @@
 /// Reports that may be unanswered before the oldest is given up.
 constexpr std::size_t max_unanswered = 32;
 
-double seconds(instant::duration span)
-{
-    return std::chrono::duration<double>(span).count();
-}
-
 } // namespace
 
 double credit_account::account::demand_per_s(instant now) const
@@ -156,9 +151,8 @@
     return {credit_verdict::unknown, 0};
 }
 
-void credit_account::refund(workspace_name const& workspace, instant now)
+void credit_account::refund(workspace_name const& workspace)
 {
-    (void)now;
     auto const found = accounts_.find(workspace);
     // The request may have been admitted before the workspace had a limit.
     if (found == accounts_.end() || found->second.admitted <= 0)
--- a/src/access/credit_account.hpp
+++ b/src/access/credit_account.hpp
@@ -45,7 +45,7 @@
     credit_decision admit(workspace_name const& workspace, instant now, bool is_retry = false);
     /// Returns the credit of a request that was admitted and then not run. The credit can be used
     /// again while its line is valid.
-    void refund(workspace_name const& workspace, instant now);
+    void refund(workspace_name const& workspace);
     /// Uses to report: workspaces admitted, refused or asked for since their last report, totals
     /// that no grant has confirmed, and lines in use that are about to expire. Ends the urgency.
     std::vector<workspace_use> take_report(instant now);
--- a/src/access/quota_bucket.cpp
+++ b/src/access/quota_bucket.cpp
@@ -37,11 +37,6 @@
     return std::clamp(use.total, std::int64_t{0}, std::int64_t{1} << 53);
 }
 
-double seconds(instant::duration span)
-{
-    return std::chrono::duration<double>(span).count();
-}
-
 instant after(instant from, double span_s)
 {
     return from +
--- a/src/access/quota_ledger.cpp
+++ b/src/access/quota_ledger.cpp
@@ -27,6 +27,15 @@
     return clock_;
 }
 
+quota_bucket::host_activity quota_ledger::host_activity() const
+{
+    return [this](quota_host_index host)
+    {
+        auto const found = last_exchange_.find(host);
+        return found == last_exchange_.end() ? instant() : found->second;
+    };
+}
+
 quota_bucket const* quota_ledger::find(workspace_name const& workspace) const
 {
     auto const found = buckets_.find(workspace);
@@ -38,11 +47,7 @@
     if (settings_.window_s <= 0)
         return;
     now = advance_clock(now);
-    auto const activity = [this](quota_host_index host)
-    {
-        auto const found = last_exchange_.find(host);
-        return found == last_exchange_.end() ? instant() : found->second;
-    };
+    auto const activity = host_activity();
     std::unordered_map<workspace_name, quota_bucket> kept;
     for (auto const& workspace : access.workspaces)
     {
@@ -118,11 +123,7 @@
     host_record* const host = accept(request, now);
     if (!host)
         return {};
-    auto const activity = [this](quota_host_index index)
-    {
-        auto const found = last_exchange_.find(index);
-        return found == last_exchange_.end() ? instant() : found->second;
-    };
+    auto const activity = host_activity();
     std::vector<credit_line> out;
     out.reserve(request.uses.size());
     for (auto const& use : request.uses)
--- a/src/access/quota_ledger.hpp
+++ b/src/access/quota_ledger.hpp
@@ -63,6 +63,8 @@
     };
 
     instant advance_clock(instant now);
+    /// Last exchanges as this ledger knows them. Valid as long as the ledger.
+    quota_bucket::host_activity host_activity() const;
     void forget_hosts(instant now);
     host_record* accept(lease_request const& request, instant now);
 
--- a/src/base/chart.cpp
+++ b/src/base/chart.cpp
@@ -2,12 +2,11 @@
 #include "base/chart.hpp"
 
 #include "base/invariant.hpp"
+#include "base/text_file.hpp"
 
 #include <algorithm>
 #include <boost/json.hpp>
-#include <fstream>
 #include <optional>
-#include <sstream>
 
 namespace guavashed
 {
@@ -85,12 +84,10 @@
 
 result<chart> chart::load(std::string const& path, chart_vocabulary const& vocabulary)
 {
-    std::ifstream file(path);
-    if (!file)
+    auto const text = read_text_file(path);
+    if (!text)
         return fail(error_code::invalid_chart, "read chart", path, "file cannot be opened");
-    std::ostringstream text;
-    text << file.rdbuf();
-    return parse(text.str(), path, vocabulary);
+    return parse(*text, path, vocabulary);
 }
 
 result<chart> chart::parse(std::string const& text, std::string const& label,
--- a/src/base/instant.hpp
+++ b/src/base/instant.hpp
@@ -47,6 +47,19 @@
         std::chrono::duration_cast<milliseconds>(deadline - now).count());
 }
 
+/// Seconds in `span`, with their fraction. Thread safe.
+inline double seconds(instant::duration span)
+{
+    return std::chrono::duration<double>(span).count();
+}
+
+/// Milliseconds from `from` to `to`, with their fraction; negative when `to` is earlier. Thread
+/// safe.
+inline double ms_between(instant from, instant to)
+{
+    return std::chrono::duration<double, std::milli>(to - from).count();
+}
+
 /// Converts `deadline` to the steady clock, which Asio timers use. Waits are capped at 24 hours, so
 /// that distant deadlines don't overflow. Thread safe.
 inline std::chrono::steady_clock::time_point timer_point(instant deadline)
--- a/src/fleet/drain_schedule.hpp
+++ b/src/fleet/drain_schedule.hpp
@@ -20,6 +20,10 @@
     instant end_by = instant::max();
 };
 
+/// Retry-After of requests that a leaving host refuses, in milliseconds: the hosts that take over
+/// are ready already.
+inline constexpr double leaving_retry_after_ms = 100;
+
 /// Plans the stop of a process that is killed `grace` after `requested_at`. Thread safe; no
 /// preconditions.
 constexpr drain_schedule plan_drain(instant requested_at, milliseconds grace)
--- a/src/fleet/gateway_access.cpp
+++ b/src/fleet/gateway_access.cpp
@@ -24,8 +24,7 @@
         return left;
     std::vector<region_name> out;
     std::copy_if(left.begin(), left.end(), std::back_inserter(out),
-                 [&right](region_name const& region)
-                 { return std::find(right.begin(), right.end(), region) != right.end(); });
+                 [&right](region_name const& region) { return is_allowed(region, right); });
     if (out.empty())
         return std::nullopt;
     return out;
@@ -60,11 +59,6 @@
     return item.workspace == nullptr ? std::string() : " workspace=" + item.workspace->name.value();
 }
 
-bool gateway_node::keys_usable(instant now) const
-{
-    return lease_.keys_usable(now);
-}
-
 bool gateway_node::authorize(call_ptr const& item)
 {
     instant const now = instant::clock::now();
@@ -84,7 +78,7 @@
                remaining_ms(view_unverified_until_, now));
         return false;
     }
-    if (!keys_usable(now))
+    if (!lease_.keys_usable(now))
     {
         ++counters_.without_lease;
         refuse(item, "this host cannot check keys at the moment", lease_.expected_grant_ms(now));
--- a/src/fleet/gateway_calls.cpp
+++ b/src/fleet/gateway_calls.cpp
@@ -24,17 +24,10 @@
 /// The same where the whole fleet starts with it: connections, an election after the leases of an
 /// earlier life, and a push of the view.
 constexpr double fleet_start_ms = 1700;
-/// Hosts that take over for a leaving one are ready already.
-constexpr double leaving_retry_after_ms = 100;
 
 /// Bytes of an unreadable field that a log line shows.
 constexpr std::size_t max_logged_value = 64;
 
-double ms_between(instant from, instant to)
-{
-    return std::chrono::duration<double, std::milli>(to - from).count();
-}
-
 std::string integer_text(double value)
 {
     return std::to_string(static_cast<std::int64_t>(value));
--- a/src/fleet/gateway_leases.cpp
+++ b/src/fleet/gateway_leases.cpp
@@ -13,8 +13,6 @@
 
 /// Between checks while a request is due and no session is open, and least wait of the timer.
 constexpr milliseconds min_timer_wait{10};
-/// Hosts that take over for a leaving one are ready already.
-constexpr double leaving_retry_after_ms = 100;
 constexpr unsigned status_over_limit = 429;
 /// A lease request or its grant may be lost: after this, a little more than a round trip between
 /// regions, requests that still wait are asked for again.
@@ -183,7 +181,7 @@
         return;
     item.has_credit = false;
     ++counters_.credit_refunds;
-    credit_.refund(item.workspace->name, instant::clock::now());
+    credit_.refund(item.workspace->name);
 }
 
 void gateway_node::refuse_held()
@@ -193,11 +191,8 @@
             refuse(held.item, "this host stops", leaving_retry_after_ms);
 }
 
-std::string gateway_node::lease_metrics() const
+void gateway_node::add_lease_metrics(metric_sink const& line) const
 {
-    std::string out;
-    auto const line = [&out](char const* name, std::uint64_t value)
-    { out += "guavashed_entry_" + std::string(name) + " " + std::to_string(value) + "\n"; };
     lease_counters const& lease = lease_.counters();
     line("lease_requests_total", lease.requests);
     line("lease_grants_total", lease.grants);
@@ -210,7 +205,6 @@
     line("held_for_credit_timeouts_total", counters_.hold_timeouts);
     line("over_limit_total", counters_.over_limit);
     line("credit_refunds_total", counters_.credit_refunds);
-    return out;
 }
 
 } // namespace guavashed
--- a/src/fleet/gateway_node.cpp
+++ b/src/fleet/gateway_node.cpp
@@ -50,13 +50,18 @@
     stop();
 }
 
+http_server_limits gateway_node::memory_limits() const
+{
+    http_server_limits out;
+    out.max_connections = settings_.max_connections;
+    out.max_buffered_bytes = settings_.max_buffered_bytes;
+    out.max_held_bytes = settings_.max_buffered_bytes;
+    return out;
+}
+
 result<void> gateway_node::start()
 {
-    http_server_limits limits;
-    limits.max_connections = settings_.max_connections;
-    limits.max_buffered_bytes = settings_.max_buffered_bytes;
-    limits.max_held_bytes = settings_.max_buffered_bytes;
-    caller_server_ = std::make_unique<http_server>(event_loop_, *this, limits);
+    caller_server_ = std::make_unique<http_server>(event_loop_, *this, memory_limits());
     BOOST_OUTCOME_TRY(caller_server_->listen(settings_.caller_listen));
     readiness_ = std::make_unique<readiness>(
         event_loop_, [this] { return is_ready(); }, [this] { return metrics(); });
@@ -154,12 +159,9 @@
 {
     if (table_ && config.version <= table_->config().version)
         return;
-    http_server_limits limits;
+    http_server_limits limits = memory_limits();
     limits.max_header_bytes = config.limits.max_header_bytes;
     limits.max_body_bytes = config.limits.max_body_bytes;
-    limits.max_connections = settings_.max_connections;
-    limits.max_buffered_bytes = settings_.max_buffered_bytes;
-    limits.max_held_bytes = settings_.max_buffered_bytes;
     // Callers may use up the limits that they know, which may be those of a newer configuration.
     limits.header_timeout = milliseconds(config.limits.header_timeout_ms) * 3 / 2;
     limits.idle_timeout = milliseconds(config.limits.idle_timeout_ms) * 3 / 2;
@@ -232,7 +234,7 @@
     line("in_flight", calls_.size());
     line("control_sessions", open_sessions());
     line("view_index", view_index_);
-    out += lease_metrics();
+    add_lease_metrics(line);
     line("config_version", table_ ? table_->config().version.value() : 0);
     std::uint64_t below = 0;
     for (std::size_t at = 0; at < bucket_ms.size(); ++at)
--- a/src/fleet/gateway_node.hpp
+++ b/src/fleet/gateway_node.hpp
@@ -8,6 +8,7 @@
 #include "access/credit_account.hpp"
 #include "access/held_queue.hpp"
 #include "access/quota_ledger.hpp"
+#include "base/metric_sink.hpp"
 #include "base/ticker.hpp"
 #include "fleet/call_protocol.hpp"
 #include "fleet/drain_schedule.hpp"
@@ -182,6 +183,8 @@
     /// as before the pause.
     bool detect_pause(instant now);
     void on_changes(fleet_changes changes, frame_session const& session);
+    /// Limits for callers' connections that follow from the host's settings.
+    http_server_limits memory_limits() const;
     void adopt_config(routing_config config);
     void adopt_access(access_config config);
     void update_control_links(std::vector<endpoint_text> const& controls);
@@ -201,8 +204,6 @@
     /// Checks the lease of the keys, the key and the workspace's credit, in this order. False if
     /// the request was answered. Precondition: the route is set.
     bool authorize(call_ptr const& item);
-    /// Whether this host knows which keys are valid at `now`.
-    bool keys_usable(instant now) const;
     bool limits_in_force() const;
     lease_need need_of_lease(instant now) const;
     /// Lets a host that has just started become ready once its keys are usable.
@@ -226,7 +227,7 @@
     void refuse_held();
     /// Decides all held requests again; those without credit ask for it once more.
     void decide_held(instant now);
-    std::string lease_metrics() const;
+    void add_lease_metrics(metric_sink const& line) const;
     /// Sets the workspace of the request's key and what follows from it. False if the request was
     /// answered.
     bool identify(call_ptr const& item);
@@ -283,7 +284,7 @@
     access_lease lease_;
     credit_account credit_;
     boost::asio::steady_timer lease_timer_;
-    /// Requests that wait for credit. A caller waits no longer than two round trips to the leader.
+    /// Requests that wait for credit, each for a part of its latency objective.
     held_queue<call_ptr> held_{256};
     /// When requests that wait for credit are asked for again.
     instant ask_again_at_;
--- a/src/fleet/registry_leases.cpp
+++ b/src/fleet/registry_leases.cpp
@@ -23,7 +23,7 @@
 
 } // namespace
 
-bool registry_node::may_grant_leases(instant now) const
+bool registry_node::holds_acknowledged(instant now) const
 {
     return raft_->lease_holds(now) && raft_->caught_up() &&
            replica_->applied() == raft_->commit_index();
@@ -33,7 +33,7 @@
 {
     // Limits that are still being read from the log are not configured: each would start with a
     // full bucket after the term has begun.
-    if (!may_grant_leases(now))
+    if (!holds_acknowledged(now))
         return;
     if (register_.access_changed() != quota_access_changed_)
     {
@@ -55,7 +55,7 @@
     instant const now = instant::clock::now();
     if (!raft_->is_leader())
         return forward_lease_request(session, message, now);
-    if (may_grant_leases(now))
+    if (holds_acknowledged(now))
         return grant_lease(session, message, now);
     // All of them, in their order: a later request of a host does not ask again for what an earlier
     // one asked for.
@@ -88,7 +88,7 @@
     std::erase_if(lease_routes_, [now](auto const& item) { return item.second.until <= now; });
     if (waiting_leases_.empty())
         return;
-    if (may_grant_leases(now))
+    if (holds_acknowledged(now))
     {
         for (auto const& waiting : std::exchange(waiting_leases_, {}))
             grant_lease(waiting.session, waiting.request, now);
@@ -123,18 +123,14 @@
     route->second.session->send(frame_type::lease_grant, encode(message));
 }
 
-std::string registry_node::lease_metrics() const
+void registry_node::add_lease_metrics(metric_sink const& line) const
 {
-    std::string out;
-    auto const line = [&out](char const* name, std::uint64_t value)
-    { out += "guavashed_control_" + std::string(name) + " " + std::to_string(value) + "\n"; };
     line("lease_requests_total", counters_.lease_requests);
     line("lease_grants_total", counters_.lease_grants);
     line("lease_requests_forwarded_total", counters_.leases_forwarded);
     line("lease_grants_passed_on_total", counters_.lease_grants_passed_on);
     line("lease_requests_waiting", waiting_leases_.size());
     line("access_changed_index", register_.access_changed().value());
-    return out;
 }
 
 } // namespace guavashed
--- a/src/fleet/registry_node.hpp
+++ b/src/fleet/registry_node.hpp
@@ -4,6 +4,7 @@
 
 #include "access/lease_messages.hpp"
 #include "access/quota_ledger.hpp"
+#include "base/metric_sink.hpp"
 #include "base/ticker.hpp"
 #include "control/replica_driver.hpp"
 #include "fleet/fleet_register.hpp"
@@ -176,8 +177,8 @@
     /// Grants a lease, lets the request wait until this host may, or passes it on to the leader.
     void on_lease_request(frame_session_ptr const& session, lease_request message);
     /// True on a leader that holds its lease and has applied every acknowledged change.
-    bool may_grant_leases(instant now) const;
-    /// Precondition: `may_grant_leases(now)`.
+    bool holds_acknowledged(instant now) const;
+    /// Precondition: `holds_acknowledged(now)`.
     void grant_lease(frame_session_ptr const& session, lease_request const& message, instant now);
     void grant_waiting_leases(instant now);
     void forward_lease_request(frame_session_ptr const& session, lease_request const& message,
@@ -186,7 +187,7 @@
     void on_lease_grant(lease_grant const& message);
     /// On a leader: applies a change of the limits, and begins a new term.
     void update_quota_ledger(instant now);
-    std::string lease_metrics() const;
+    void add_lease_metrics(metric_sink const& line) const;
     void push_changes(instant now);
     void push_to(instant now, entry_session& entry);
     void note_changes(instant now);
--- a/src/fleet/registry_orders.cpp
+++ b/src/fleet/registry_orders.cpp
@@ -136,8 +136,7 @@
 
 bool registry_node::may_answer_reads(instant now) const
 {
-    return raft_->lease_holds(now) && raft_->caught_up() &&
-           replica_->applied() == raft_->commit_index() && !register_.document().empty();
+    return holds_acknowledged(now) && !register_.document().empty();
 }
 
 void registry_node::on_read(std::shared_ptr<http_exchange> exchange)
@@ -236,8 +235,8 @@
 std::string registry_node::metrics() const
 {
     std::string out;
-    auto const line = [&out](char const* name, std::uint64_t value)
-    { out += "guavashed_control_" + std::string(name) + " " + std::to_string(value) + "\n"; };
+    auto const line = [&out](std::string const& name, std::uint64_t value)
+    { out += "guavashed_control_" + name + " " + std::to_string(value) + "\n"; };
     line("announcements_total", counters_.announcements);
     line("orders_total", counters_.orders);
     line("orders_refused_total", counters_.refused);
@@ -247,7 +246,7 @@
     line("view_pushed_bytes_total", counters_.pushed_bytes);
     line("leaders_seen_total", counters_.leaders_seen);
     line("bad_frames_total", counters_.bad_frames);
-    out += lease_metrics();
+    add_lease_metrics(line);
     line("leads", raft_->is_leader() ? 1 : 0);
     line("applied_index", replica_->applied().value());
     line("config_version", register_.version().value());
--- a/src/routing/config_check.cpp
+++ b/src/routing/config_check.cpp
@@ -1,6 +1,8 @@
 // Finds entries of a configuration that have no effect, and limits that contradict each other.
 #include "routing/config_check.hpp"
 
+#include "routing/placement.hpp"
+
 #include <algorithm>
 #include <utility>
 
@@ -109,13 +111,9 @@
     for (auto const& route : routes)
     {
         bool const has_common =
-            route.regions.empty() ||
-            std::any_of(route.regions.begin(), route.regions.end(),
-                        [&](region_name const& region)
-                        {
-                            return std::find(workspace.regions.begin(), workspace.regions.end(),
-                                             region) != workspace.regions.end();
-                        });
+            route.regions.empty() || std::any_of(route.regions.begin(), route.regions.end(),
+                                                 [&](region_name const& region)
+                                                 { return is_allowed(region, workspace.regions); });
         if (!has_common)
             findings.without_effect("allowed regions: none is among those of route " + route.name +
                                     ", so that route refuses all requests of the workspace");
--- a/test/correctness/access/credit_account_test.cpp
+++ b/test/correctness/access/credit_account_test.cpp
@@ -48,7 +48,7 @@
         }
         SECTION("a refund returns the credit and lowers the total")
         {
-            account.refund(bakery, at_ms(50));
+            account.refund(bakery);
             CHECK(account.take_report(at_ms(60)).at(0).admitted_total == 1);
             CHECK(admits(70));
         }
--- a/test/correctness/access/quota_harness.hpp
+++ b/test/correctness/access/quota_harness.hpp
@@ -143,8 +143,8 @@
         if (chance() >= refunds)
             ran.push_back(now);
         else
-            events.emplace(now + milliseconds(random() % 500), [this, account = at.account]
-                           { account->refund(tested_workspace, now); });
+            events.emplace(now + milliseconds(random() % 500),
+                           [this, account = at.account] { account->refund(tested_workspace); });
     }
 
     access_config config;
