--- /dev/null
+++ b/review/6/run.sh
@@ -0,0 +1,9 @@
+#!/usr/bin/env bash
+# Exits with 1 if CONFIG was broken, with 0 if it held, with 2 if the case couldn't run.
+cd "$(dirname "$0")/../.." || exit 2
+binary=$PWD/target/guavashed-platform
+driver=$PWD/target/review-2/learner-stuck
+[[ -x $binary && -x $driver ]] || { echo "run the build of the deploy file and review/build-2.sh first" >&2; exit 2; }
+work=$(mktemp -d) || exit 2
+trap 'rm -rf "$work"' EXIT
+"$driver" "$binary" "$work" "$PWD/review/6/record.txt"
