--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -6,4 +6,8 @@
 [[ -x $binary && -x $driver ]] || { echo "run the build of the deploy file and review/build-2.sh first" >&2; exit 2; }
 work=$(mktemp -d) || exit 2
 trap 'rm -rf "$work"' EXIT
-"$driver" "$binary" "$work" "$PWD/review/8/record.txt"
+# The driver ends its processes when it ends, also after a signal.
+trap 'kill -TERM "$pid" 2>/dev/null; wait "$pid"; exit 2' TERM INT
+"$driver" "$binary" "$work" "$PWD/review/8/record.txt" &
+pid=$!
+wait "$pid"
--- a/review/stand-2/entries_stranded.cpp
+++ b/review/stand-2/entries_stranded.cpp
@@ -130,6 +130,7 @@
         std::cerr << "usage: entries-stranded BINARY WORK_FOLDER RECORD\n";
         return not_run;
     }
+    review::end_on_signals();
     char const* const trouble = std::getenv("TROUBLE");
     try
     {
--- a/review/stand-2/learner_stuck.cpp
+++ b/review/stand-2/learner_stuck.cpp
@@ -108,6 +108,7 @@
         std::cerr << "usage: learner-stuck BINARY WORK_FOLDER RECORD\n";
         return not_run;
     }
+    review::end_on_signals();
     char const* const trouble = std::getenv("TROUBLE");
     try
     {
--- a/review/stand-2/seeds_outside.cpp
+++ b/review/stand-2/seeds_outside.cpp
@@ -15,6 +15,8 @@
 constexpr unsigned seeds = 3;
 constexpr unsigned per_s = 50;
 constexpr double down_s = 4;
+/// Within the `down_s` of the site's `kill_all`, 0.81.
+constexpr double process_down_s = 0.8;
 constexpr double recovery_s = 15;
 constexpr double judged_s = 8;
 constexpr int held = 0;
@@ -98,7 +100,7 @@
         fleet.kill(review::small_fleet::control(i));
     for (unsigned i = 0; i < options.entries; ++i)
         fleet.kill(review::small_fleet::entry(i));
-    pause_s(1.3);
+    pause_s(process_down_s);
     for (unsigned i = 0; i < all_controls; ++i)
         fleet.start_control(i, false);
     for (unsigned i = 0; i < options.entries; ++i)
@@ -134,6 +136,7 @@
         std::cerr << "usage: seeds-outside BINARY WORK_FOLDER RECORD\n";
         return not_run;
     }
+    review::end_on_signals();
     char const* const trouble = std::getenv("TROUBLE");
     try
     {
--- a/review/stand-2/small_fleet.cpp
+++ b/review/stand-2/small_fleet.cpp
@@ -1,6 +1,7 @@
 // Starts the processes of a small deployment on loopback and talks to them.
 #include "small_fleet.hpp"
 
+#include <algorithm>
 #include <arpa/inet.h>
 #include <array>
 #include <csignal>
@@ -32,6 +33,10 @@
 constexpr unsigned ports = 21;
 constexpr milliseconds call_timeout{1000};
 
+std::string const address_prefix = "127.0.40.";
+
+volatile std::sig_atomic_t is_interrupted = 0;
+
 struct place
 {
     char const* region;
@@ -44,20 +49,28 @@
                                        {"central", "central-b"},
                                        {"south", "south-b"}}};
 
+/// Whether the port is free on all addresses that a fleet uses.
 bool is_free(unsigned port)
 {
-    int const descriptor = ::socket(AF_INET, SOCK_STREAM, 0);
-    sockaddr_in where{};
-    where.sin_family = AF_INET;
-    where.sin_port = htons(static_cast<std::uint16_t>(port));
-    where.sin_addr.s_addr = htonl(INADDR_ANY);
-    bool const bound =
-        ::bind(descriptor, reinterpret_cast<sockaddr const*>(&where), sizeof where) == 0;
-    ::close(descriptor);
-    return bound;
+    constexpr unsigned last_host = 254;
+    for (unsigned host = 1; host <= last_host; ++host)
+    {
+        int const descriptor = ::socket(AF_INET, SOCK_STREAM, 0);
+        sockaddr_in where{};
+        where.sin_family = AF_INET;
+        where.sin_port = htons(static_cast<std::uint16_t>(port));
+        bool const bound =
+            ::inet_pton(AF_INET, (address_prefix + std::to_string(host)).c_str(),
+                        &where.sin_addr) == 1 &&
+            ::bind(descriptor, reinterpret_cast<sockaddr const*>(&where), sizeof where) == 0;
+        ::close(descriptor);
+        if (!bound)
+            return false;
+    }
+    return true;
 }
 
-/// First port of a range that is free on all addresses, below the range of outgoing connections.
+/// First port of a range that is free, below the range of outgoing connections.
 unsigned free_ports()
 {
     constexpr unsigned lowest = 20000;
@@ -76,9 +89,25 @@
 
 } // namespace
 
+void end_on_signals()
+{
+    struct sigaction action = {};
+    action.sa_handler = [](int) { is_interrupted = 1; };
+    ::sigaction(SIGTERM, &action, nullptr);
+    ::sigaction(SIGINT, &action, nullptr);
+}
+
 void pause_s(double seconds)
 {
-    std::this_thread::sleep_for(std::chrono::duration<double>(seconds));
+    constexpr std::chrono::milliseconds step{50};
+    auto const until = std::chrono::steady_clock::now() + std::chrono::duration<double>(seconds);
+    while (std::chrono::steady_clock::now() < until)
+    {
+        if (is_interrupted != 0)
+            throw std::runtime_error("interrupted");
+        std::this_thread::sleep_for(std::min<std::chrono::duration<double>>(
+            step, until - std::chrono::steady_clock::now()));
+    }
 }
 
 small_fleet::small_fleet(fleet_options options)
@@ -90,6 +119,11 @@
     std::filesystem::create_directories(options_.work_folder);
 }
 
+std::string small_fleet::ip(unsigned host) const
+{
+    return address_prefix + std::to_string(host);
+}
+
 double small_fleet::seconds() const
 {
     return std::chrono::duration<double>(std::chrono::steady_clock::now() - started_).count();
--- a/review/stand-2/small_fleet.hpp
+++ b/review/stand-2/small_fleet.hpp
@@ -73,7 +73,7 @@
     double seconds() const;
 
 private:
-    std::string ip(unsigned host) const { return "127.0.40." + std::to_string(host); }
+    std::string ip(unsigned host) const;
     std::string control_ip(unsigned i) const { return ip(10 + i); }
     std::string entry_ip(unsigned i) const { return ip(50 + i); }
     std::string address(std::string const& host, unsigned port) const;
@@ -96,6 +96,8 @@
     guavashed::http_client client_;
 };
 
+/// Makes `pause_s` throw after SIGTERM or SIGINT, so that the fleet ends with its driver.
+void end_on_signals();
 void pause_s(double seconds);
 
 } // namespace review
