Tell entry hosts without a view which control hosts there are

Cause: only members of the group told entry hosts of other control hosts. A control host outside of the group runs and is greeted by the members, but named none of them; and an entry host without a view left out only its present source, so that two such hosts nearby kept it from a third.

Ruled out: a group without a leader (it has one from 1 s after the fault on).

Fix: a control host tells entry hosts without a view whether it follows a leader, who is in its group, and which others it has heard (control_directory); the entry host connects to these (select_controls) and takes its view from the nearest one that follows a leader, or goes round all of them while none delivers a view (choose_source).

Failed before: correctness_fleet, "entry hosts start while all their seeds are outside of the control group", with the program of the untouched code: no entry host ready after 15 s.

--- a/src/fleet/gateway_links.cpp
+++ b/src/fleet/gateway_links.cpp
@@ -15,51 +15,80 @@
 constexpr milliseconds report_interval{300};
 /// Interval of unchanged reports; sessions are kept alive by pings.
 constexpr milliseconds repeat_interval{2000};
-/// For a source to deliver the first view; that takes a few hundred milliseconds on the slowest
-/// links.
-constexpr milliseconds initial_view_timeout{1500};
 /// A control host that delivered a change before the source did is kept as source this long.
 constexpr std::chrono::seconds min_source_hold{10};
-/// A source is replaced by a control host whose round trip is shorter by this factor: round trips
-/// within a failure domain, a region and between regions differ by more.
-constexpr int nearer_factor = 2;
 /// A source that has been silent for longer has missed a ping (`fleet_identity`) and may be down or
 /// frozen. Another one is taken well before the session times out, since a change that the source
 /// doesn't push arrives later, or never if the group then fails.
 constexpr milliseconds max_source_silence{700};
-/// Most control hosts of a fleet (docs/CAPACITY.md).
-constexpr std::size_t max_controls = 18;
-
 } // namespace
 
-void gateway_node::link_to(endpoint_text const& control)
+void gateway_node::add_link(endpoint_text const& control, instant connect_due)
 {
-    if (control_links_.contains(control) || control_links_.size() >= max_controls)
-        return;
     control_link& added = control_links_[control];
     added.link = std::make_unique<frame_client>(event_loop_, *this,
                                                 fleet_identity(settings_.name.value()), control);
-    added.link->start();
+    added.connect_due = connect_due;
+}
+
+void gateway_node::connect_due_links(instant now)
+{
+    for (auto& [endpoint, control] : control_links_)
+        if (control.connect_due != instant() && now >= control.connect_due)
+        {
+            control.connect_due = instant();
+            control.link->start();
+        }
+}
+
+void gateway_node::update_control_links(instant now)
+{
+    std::vector<endpoint_text> current;
+    control_statuses open;
+    for (auto const& [endpoint, control] : control_links_)
+    {
+        current.push_back(endpoint);
+        if (control.session != nullptr)
+            open[endpoint] = control.status;
+    }
+    auto const selected = select_controls(settings_.seeds, current, open);
+    std::string added;
+    std::size_t dropped = 0;
+    for (auto const& control : selected)
+    {
+        if (control_links_.contains(control))
+            continue;
+        add_link(control, connect_time(now, is_served(now), random_));
+        added += (added.empty() ? "" : ",") + control.value();
+    }
+    for (auto at = control_links_.begin(); at != control_links_.end();)
+    {
+        if (selected.contains(at->first))
+        {
+            ++at;
+            continue;
+        }
+        // Closing its session calls `on_close`, which must not find the link.
+        auto const gone = control_links_.extract(at++);
+        gone.mapped().link->stop();
+        ++dropped;
+    }
+    connect_due_links(now);
+    if (!added.empty() || dropped > 0)
+        log_change(log_level::info, "control_links",
+                   "added=" + added + " dropped=" + std::to_string(dropped) +
+                       " links=" + std::to_string(control_links_.size()));
 }
 
-void gateway_node::update_control_links(std::vector<endpoint_text> const& controls)
-{
-    if (controls.empty())
-        return;
-    for (auto const& control : controls)
-        link_to(control);
-    std::erase_if(control_links_,
-                  [&](auto& item)
-                  {
-                      bool const listed =
-                          std::find(controls.begin(), controls.end(), item.first) != controls.end();
-                      bool const seed = std::find(settings_.seeds.begin(), settings_.seeds.end(),
-                                                  item.first) != settings_.seeds.end();
-                      if (listed || seed)
-                          return false;
-                      item.second.link->stop();
-                      return true;
-                  });
+void gateway_node::on_control_status(frame_session const& session, control_status status)
+{
+    instant const now = instant::clock::now();
+    for (auto& [endpoint, control] : control_links_)
+        if (control.session == &session)
+            control.status = std::move(status);
+    update_control_links(now);
+    select_source(now);
+    report_when_due(now);
 }
 
 std::size_t gateway_node::open_sessions() const
@@ -75,41 +104,34 @@
            now < control.session->last_received() + max_source_silence;
 }
 
-void gateway_node::choose_source(instant now)
-{
-    auto const current = control_links_.find(source_);
-    bool const open = current != control_links_.end() && current->second.session != nullptr;
-    bool const heard = open && is_heard(current->second, now);
-    // A source that delivers no first view may itself be partitioned from the group.
-    bool const view_timed_out = view_index_ == 0 && now >= source_until_;
-    bool const settled = view_index_ == 0 || now < source_until_;
-    if (heard && settled && !view_timed_out)
-        return;
-    auto nearest = control_links_.end();
-    for (auto at = control_links_.begin(); at != control_links_.end(); ++at)
-    {
-        if (!is_heard(at->second, now) || (view_timed_out && at == current))
-            continue;
-        if (nearest == control_links_.end() ||
-            at->second.link->round_trip() < nearest->second.link->round_trip())
-            nearest = at;
-    }
-    if (nearest == control_links_.end() || nearest == current)
-        return;
-    bool const nearer = !heard || nearest->second.link->round_trip() * nearer_factor <
-                                      current->second.link->round_trip();
-    if (view_timed_out || nearer)
-        switch_source(nearest->first, now + initial_view_timeout,
-                      open && !heard ? "silent" : "nearest");
+bool gateway_node::is_served(instant now) const
+{
+    auto const at = control_links_.find(source_);
+    return view_index_ != 0 && at != control_links_.end() && is_heard(at->second, now) &&
+           (!at->second.status || at->second.status->has_leader);
+}
+
+void gateway_node::select_source(instant now)
+{
+    std::vector<source_candidate> candidates;
+    for (auto const& [endpoint, control] : control_links_)
+        candidates.push_back({endpoint, control.session != nullptr, is_heard(control, now),
+                              !control.status || control.status->has_leader,
+                              control.link->round_trip(), control.source_since});
+    if (auto const next =
+            choose_source(candidates, {source_, view_index_ != 0, source_until_}, now))
+        switch_source(next->control, now + initial_view_timeout, next->reason);
 }
 
-void gateway_node::switch_source(endpoint_text const& control, instant until, char const* reason)
+void gateway_node::switch_source(endpoint_text const& control, instant until,
+                                 std::string const& reason)
 {
     log_change(log_level::info, "source",
                "control=" + control.value() + " before=" + source_.value() + " reason=" + reason +
                    " view=" + std::to_string(view_index_));
     source_ = control;
     source_until_ = until;
+    control_links_.at(control).source_since = instant::clock::now();
 }
 
 void gateway_node::note_newer_view(frame_session const& session, instant now)
@@ -162,7 +184,8 @@
         control.session = session.get();
         log_change(log_level::info, "control_connected",
                    "peer=" + session->peer() + " sessions=" + std::to_string(open_sessions()));
-        choose_source(now);
+        control.status.reset();
+        select_source(now);
         report_to(endpoint, control, now);
         lease_.note_session_opened(now);
         drive_lease(now);
@@ -173,11 +196,14 @@
 {
     for (auto& [endpoint, control] : control_links_)
         if (control.session == session.get())
+        {
             control.session = nullptr;
+            control.status.reset();
+        }
     log_change(log_level::warning, "control_lost",
                "peer=" + session->peer() + " sessions=" + std::to_string(open_sessions()) +
                    " view=" + std::to_string(view_index_));
-    choose_source(instant::clock::now());
+    select_source(instant::clock::now());
     report_when_due(instant::clock::now());
 }
 
--- a/src/fleet/gateway_node.cpp
+++ b/src/fleet/gateway_node.cpp
@@ -69,8 +69,7 @@
     boost::asio::post(event_loop_.context(),
                       [this]
                       {
-                          for (auto const& seed : settings_.seeds)
-                              link_to(seed);
+                          update_control_links(instant::clock::now());
                           ticker_.start();
                       });
     log_change(log_level::info, "entry_started",
@@ -79,13 +78,13 @@
     return boost::outcome_v2::success();
 }
 
-void gateway_node::add_seeds(std::vector<endpoint_text> seeds)
+void gateway_node::set_seeds(std::vector<endpoint_text> seeds)
 {
     boost::asio::post(event_loop_.context(),
-                      [this, seeds = std::move(seeds)]
+                      [this, seeds = std::move(seeds)]() mutable
                       {
-                          for (auto const& seed : seeds)
-                              link_to(seed);
+                          settings_.seeds = std::move(seeds);
+                          update_control_links(instant::clock::now());
                       });
 }
 
@@ -104,7 +103,8 @@
 void gateway_node::tick(instant now)
 {
     detect_pause(now);
-    choose_source(now);
+    connect_due_links(now);
+    select_source(now);
     report_when_due(now);
     drive_lease(now);
 }
@@ -114,6 +114,9 @@
     if (item.type == frame_type::fleet_changes)
         if (auto message = decode<fleet_changes>(item.payload, session->peer()))
             return on_changes(std::move(message).value(), *session);
+    if (item.type == frame_type::control_status)
+        if (auto message = decode<control_status>(item.payload, session->peer()))
+            return on_control_status(*session, std::move(message).value());
     if (item.type == frame_type::lease_grant)
         if (auto message = decode<lease_grant>(item.payload, session->peer()))
             return on_lease_grant(message.value());
@@ -134,7 +137,8 @@
     if (newer)
         note_newer_view(session, instant::clock::now());
     board_.apply(changes, instant::clock::now());
-    update_control_links(changes.controls);
+    if (!changes.controls.empty())
+        on_control_status(session, {true, std::move(changes.controls), {}});
     if (changes.access)
         adopt_access(std::move(*changes.access));
     if (changes.config)
--- a/src/fleet/gateway_node.hpp
+++ b/src/fleet/gateway_node.hpp
@@ -11,7 +11,9 @@
 #include "base/metric_sink.hpp"
 #include "base/ticker.hpp"
 #include "fleet/call_protocol.hpp"
+#include "fleet/control_selection.hpp"
 #include "fleet/drain_schedule.hpp"
+#include "fleet/source_choice.hpp"
 #include "fleet/view_messages.hpp"
 #include "routing/attempt_policy.hpp"
 #include "routing/link_budget.hpp"
@@ -105,8 +107,8 @@
     /// time, answers the rest itself, then closes the caller port. Call once.
     void leave(drain_schedule const& schedule);
     void stop();
-    /// Peer endpoints in reloaded settings; connects to those that are new. Thread safe.
-    void add_seeds(std::vector<endpoint_text> seeds);
+    /// Replaces the peer endpoints with those of reloaded settings. Thread safe.
+    void set_seeds(std::vector<endpoint_text> seeds);
 
     void on_request(http_request request, std::shared_ptr<http_exchange> exchange) override;
     /// True for requests of idempotent routes: one that its caller counts as unread and sends again
@@ -155,8 +157,14 @@
     struct control_link
     {
         std::unique_ptr<frame_client> link;
+        /// When it connects first; `instant()` once it has begun to.
+        instant connect_due;
         /// Null while no session is open.
         frame_session* session = nullptr;
+        /// As received in the open session.
+        std::optional<control_status> status;
+        /// When it became the source last.
+        instant source_since;
         /// As last reported to that control host.
         std::uint64_t reported_view = 0;
         bool reported_ready = false;
@@ -166,14 +174,20 @@
     class readiness;
 
     void tick(instant now);
-    void link_to(endpoint_text const& control);
+    /// Connects to the control host at `connect_due`. Precondition: it has no link yet.
+    void add_link(endpoint_text const& control, instant connect_due);
+    void connect_due_links(instant now);
+    /// Connects to control hosts that sessions have told of, and drops those that are gone.
+    void update_control_links(instant now);
+    void on_control_status(frame_session const& session, control_status status);
     /// Reports changes of this host to control hosts: new views to the source and changes of
     /// readiness to all at once, new views to the others a little later.
     void report_when_due(instant now);
     void report_to(endpoint_text const& endpoint, control_link& control, instant now);
-    /// Selects the control host with the shortest round trip that delivers a view.
-    void choose_source(instant now);
-    void switch_source(endpoint_text const& control, instant until, char const* reason);
+    void select_source(instant now);
+    /// Whether a control host that follows a leader is the source, and has delivered a view.
+    bool is_served(instant now) const;
+    void switch_source(endpoint_text const& control, instant until, std::string const& reason);
     /// Makes that control host the source, since it delivered a change before the source did.
     void note_newer_view(frame_session const& session, instant now);
     std::size_t open_sessions() const;
@@ -187,7 +201,6 @@
     http_server_limits memory_limits() const;
     void adopt_config(routing_config config);
     void adopt_access(access_config config);
-    void update_control_links(std::vector<endpoint_text> const& controls);
     bool is_leaving() const { return drain_.end_by != instant::max(); }
     bool is_ready() const
     {
--- a/src/fleet/registry_entries.cpp
+++ b/src/fleet/registry_entries.cpp
@@ -36,9 +36,34 @@
                        " ready=" + (entry.report.ready ? "1" : "0") +
                        " view=" + std::to_string(entry.report.view_index));
     }
+    send_status(entry);
     push_to(now, entry);
 }
 
+void registry_node::update_directory(instant now)
+{
+    std::uint64_t const before = directory_.epoch();
+    directory_.update(now, role() != group_role::no_leader, raft_->membership(), known_controls_);
+    if (directory_.epoch() == before)
+        return;
+    log_change(log_level::info, "control_status",
+               std::string("has_leader=") + (directory_.status().has_leader ? "1" : "0") +
+                   " members=" + std::to_string(directory_.status().members.size()) +
+                   " others=" + std::to_string(directory_.status().others.size()));
+    for (auto& [session, entry] : entry_sessions_)
+        send_status(entry);
+}
+
+void registry_node::send_status(entry_session& entry)
+{
+    // An entry host with a view learns of new control hosts from the leader.
+    if (entry.sent_status == directory_.epoch() || entry.report.view_index != 0)
+        return;
+    entry.sent_status = directory_.epoch();
+    // A session whose queue is full closes itself and erases this entry later.
+    entry.session->send(frame_type::control_status, encode(directory_.status()));
+}
+
 void registry_node::push_changes(instant now)
 {
     for (auto& [session, entry] : entry_sessions_)
--- a/src/fleet/registry_group.cpp
+++ b/src/fleet/registry_group.cpp
@@ -16,12 +16,17 @@
 constexpr std::size_t max_founders = 5;
 /// Hosts that greeted within this time are passed on in greetings.
 constexpr milliseconds present_for{1500};
+/// A host that is silent for less may be restarting: entry hosts keep trying to connect to it.
+constexpr std::chrono::minutes known_for{1};
 
 } // namespace
 
 void registry_node::send_greetings(instant now)
 {
     next_greeting_ = now + greeting_interval;
+    std::erase_if(known_controls_,
+                  [&](auto const& item) { return item.second.received_at + known_for < now; });
+    update_directory(now);
     control_greeting out;
     out.host = self_;
     out.disk = disk_;
@@ -105,8 +110,6 @@
 {
     if (!raft_->membership_settled())
         return;
-    std::erase_if(known_controls_, [&](auto const& item)
-                  { return item.second.received_at + std::chrono::minutes(1) < now; });
     auto step = planner_.next_step(*raft_, known_controls_, now);
     if (!step)
         return;
--- a/src/fleet/registry_node.cpp
+++ b/src/fleet/registry_node.cpp
@@ -146,6 +146,7 @@
     bool const changed = raft_->leader() != last_leader_;
     last_role_ = raft_->role();
     last_leader_ = raft_->leader();
+    update_directory(instant::clock::now());
     if (last_leader_ == host_name())
         return log_change(log_level::warning, "leader_lost",
                           "term=" + std::to_string(raft_->term().value()));
--- a/src/fleet/registry_node.hpp
+++ b/src/fleet/registry_node.hpp
@@ -7,6 +7,7 @@
 #include "base/metric_sink.hpp"
 #include "base/ticker.hpp"
 #include "control/replica_driver.hpp"
+#include "fleet/control_directory.hpp"
 #include "fleet/fleet_register.hpp"
 #include "fleet/membership_planner.hpp"
 #include "fleet/registry_protocol.hpp"
@@ -108,6 +109,8 @@
         frame_session_ptr session;
         entry_report report;
         feed_position position;
+        /// Epoch of the directory of control hosts that was sent last; 0 if none was.
+        std::uint64_t sent_status = 0;
     };
     /// A lease request that waits until all committed entries are applied on this leader.
     struct waiting_lease
@@ -188,6 +191,9 @@
     /// On a leader: applies a change of the limits, and begins a new term.
     void update_quota_ledger(instant now);
     void add_lease_metrics(metric_sink const& line) const;
+    /// Tells entry hosts without a view what has changed in the directory of control hosts.
+    void update_directory(instant now);
+    void send_status(entry_session& entry);
     void push_changes(instant now);
     void push_to(instant now, entry_session& entry);
     void note_changes(instant now);
@@ -216,6 +222,7 @@
     std::map<host_name, known_control> known_controls_;
     std::map<frame_session*, entry_session> entry_sessions_;
     view_feed feed_;
+    control_directory directory_;
     encoded_changes encoded_;
     std::map<std::uint64_t, pending_request> pending_;
     std::map<std::uint64_t, pending_read> pending_reads_;
--- /dev/null
+++ b/src/fleet/source_choice.hpp
@@ -0,0 +1,55 @@
+/// \file
+/// Defines an entry host's choice of the control host that it receives its view from.
+#pragma once
+
+#include "base/ids.hpp"
+#include "base/instant.hpp"
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace guavashed
+{
+
+/// For a source to deliver the first view; that takes a few hundred milliseconds on the slowest
+/// links. Also how long a source is kept at least.
+constexpr milliseconds initial_view_timeout{1500};
+
+struct source_candidate
+{
+    endpoint_text control;
+    /// Its session is open.
+    bool is_open = false;
+    /// Its session has received something lately.
+    bool is_heard = false;
+    /// It follows a leader, as far as it has said; others deliver no views.
+    bool has_leader = true;
+    std::chrono::microseconds round_trip{0};
+    /// When it was chosen last; `instant()` if it never was.
+    instant chosen_at;
+};
+
+struct current_source
+{
+    /// Empty while there is none.
+    endpoint_text control;
+    /// A view has arrived, from whichever control host.
+    bool has_view = false;
+    /// Earliest replacement by a nearer one; without a view, the time at which another is tried.
+    instant until;
+};
+
+struct source_switch
+{
+    endpoint_text control;
+    std::string reason;
+};
+
+/// Returns the next source, or nothing where the current one stays: the nearest control host that
+/// is heard and follows a leader. Without a view all control hosts are tried in turn, as one that
+/// delivers none may be partitioned from the group without knowing it. Thread safe.
+std::optional<source_switch> choose_source(std::vector<source_candidate> const& candidates,
+                                           current_source const& source, instant now);
+
+} // namespace guavashed
--- a/src/transport/frame_link.hpp
+++ b/src/transport/frame_link.hpp
@@ -41,7 +41,8 @@
     entry_report = 20,
     fleet_changes = 21,
     lease_request = 22,
-    lease_grant = 23
+    lease_grant = 23,
+    control_status = 24
 };
 
 struct frame
--- /dev/null
+++ b/test/correctness/fleet/membership_test.cpp
@@ -0,0 +1,88 @@
+// Guards against control groups and entry hosts that never recover once control hosts were replaced
+// by spare ones.
+#include "fleet_options.hpp"
+
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <csignal>
+#include <thread>
+
+using namespace fleet_test;
+
+namespace
+{
+
+/// Within which a fleet serves again after a fault of all of its hosts.
+constexpr double recovery_s = 15;
+
+void pause_ms(int ms)
+{
+    std::this_thread::sleep_for(std::chrono::milliseconds(ms));
+}
+
+void kill_control(platform_fleet& fleet, unsigned control)
+{
+    fleet.processes().signal(fleet.control_name(control), SIGKILL);
+    fleet.processes().await(fleet.control_name(control), 5);
+}
+
+void start_spares(platform_fleet& fleet)
+{
+    unsigned const first = fleet.options().controls;
+    for (unsigned i = first; i < first + fleet.options().spare_controls; ++i)
+        fleet.start_control(i);
+    pause_ms(2000);
+}
+
+/// Keeps the control host away for long enough that a spare one takes its place.
+void restart_control(platform_fleet& fleet, unsigned control)
+{
+    kill_control(fleet, control);
+    pause_ms(4000);
+    fleet.start_control(control);
+    pause_ms(3000);
+}
+
+/// True for a control host that runs and follows no leader.
+bool is_outside(platform_fleet& fleet, unsigned control)
+{
+    std::string const log = fleet.log_of(fleet.control_name(control));
+    auto const started = log.rfind("event=control_started");
+    return log.find("event=leader leader=", started) == std::string::npos;
+}
+
+} // namespace
+
+// Review case 7: an entry host that starts knows its seeds only. Once these were replaced by spare
+// hosts, no entry host received a view after a restart.
+SCENARIO("entry hosts start while all their seeds are outside of the control group")
+{
+    platform_fleet_options options = fleet_options("platform-seeds-outside", 24500);
+    options.entries = 2;
+    options.spare_controls = 5;
+    platform_fleet fleet(options);
+    REQUIRE(fleet.start());
+    start_spares(fleet);
+    for (unsigned const seed : {0U, 1U, 2U})
+        restart_control(fleet, seed);
+    for (unsigned const seed : {0U, 1U, 2U})
+        REQUIRE(is_outside(fleet, seed));
+    WHEN("all processes are killed and started again")
+    {
+        for (unsigned i = 0; i < options.controls + options.spare_controls; ++i)
+            kill_control(fleet, i);
+        for (unsigned i = 0; i < options.entries; ++i)
+        {
+            fleet.processes().signal(fleet.entry_name(i), SIGKILL);
+            fleet.processes().await(fleet.entry_name(i), 5);
+        }
+        for (unsigned i = 0; i < options.controls + options.spare_controls; ++i)
+            fleet.start_control(i);
+        for (unsigned i = 0; i < options.entries; ++i)
+            fleet.start_entry(i);
+        THEN("all entry hosts receive a view")
+        {
+            CHECK(fleet.wait_ready(recovery_s));
+        }
+    }
+}
--- a/test/fleet/platform_fleet.cpp
+++ b/test/fleet/platform_fleet.cpp
@@ -81,7 +81,7 @@
 std::vector<std::string> platform_fleet::control_addresses() const
 {
     std::vector<std::string> out;
-    for (unsigned i = 0; i < options_.controls; ++i)
+    for (unsigned i = 0; i < all_controls(); ++i)
         out.push_back(address(control_ip(i), control_port));
     return out;
 }
@@ -89,7 +89,7 @@
 std::vector<std::string> platform_fleet::lookup_addresses() const
 {
     std::vector<std::string> out;
-    for (unsigned i = 0; i < options_.controls; ++i)
+    for (unsigned i = 0; i < all_controls(); ++i)
         out.push_back(address(control_ip(i), lookup_port));
     return out;
 }
@@ -317,7 +317,7 @@
     auto const until = std::chrono::steady_clock::now() + milliseconds(int(limit_s * 1000));
     for (unsigned i = 0; std::chrono::steady_clock::now() < until; ++i)
     {
-        unsigned const control = i % options_.controls;
+        unsigned const control = i % all_controls();
         unsigned const status = request_control(control, upsert.empty() ? "PUT" : "PATCH",
                                                 "/v1/config", document(version, upsert));
         if (status == 200)
--- a/test/fleet/platform_fleet.hpp
+++ b/test/fleet/platform_fleet.hpp
@@ -26,6 +26,8 @@
     std::string binary;
     unsigned base_port = 21000;
     unsigned controls = 5;
+    /// Control hosts after these that `start` leaves out.
+    unsigned spare_controls = 0;
     unsigned entries = 3;
     unsigned upstreams = 6;
     unsigned work_ms = 30;
@@ -129,6 +131,7 @@
                                 location const& where) const;
     void spawn(std::string const& name, std::string const& settings);
     void run_upstream(unsigned i, unsigned warmup_ms);
+    unsigned all_controls() const { return options_.controls + options_.spare_controls; }
     std::vector<std::string> control_addresses() const;
     guavashed::http_outcome call(guavashed::http_call call);
     std::string document(std::uint64_t version, std::string const& upsert) const;
