Tell running entry hosts of new control hosts

Cause: entry hosts got the list of control hosts with the list of entry hosts, which the leader sends when an entry host comes, goes or changes its readiness. New members of the group were no reason to send it. Once the last member that an entry host knew was replaced, no session was left over which the list could have come.

Fix: the status of control hosts goes to all entry hosts in session, whenever it changes, and the list is no longer part of the views.

Failed before: correctness_fleet, "all control hosts that running entry hosts know are replaced by spare ones", with the program of the untouched code: no view with version 2 on any entry host.

--- a/src/fleet/control_status.hpp
+++ b/src/fleet/control_status.hpp
@@ -10,8 +10,8 @@
 namespace guavashed
 {
 
-/// Sent to entry hosts without a view, and at each change, also by control hosts outside of the
-/// group, which know no view of the fleet.
+/// Sent after an entry host's first report, and at each change, also by control hosts outside of
+/// the group, which know no view of the fleet.
 struct control_status
 {
     static constexpr std::uint16_t wire_version = 1;
--- a/src/fleet/registry_entries.cpp
+++ b/src/fleet/registry_entries.cpp
@@ -56,8 +56,7 @@
 
 void registry_node::send_status(entry_session& entry)
 {
-    // An entry host with a view learns of new control hosts from the leader.
-    if (entry.sent_status == directory_.epoch() || entry.report.view_index != 0)
+    if (entry.sent_status == directory_.epoch())
         return;
     entry.sent_status = directory_.epoch();
     // A session whose queue is full closes itself and erases this entry later.
@@ -142,13 +141,6 @@
         if (entry.report.ready)
             entries.insert(entry_hash(entry.report.host));
     out.entries.assign(entries.begin(), entries.end());
-    std::set<endpoint_text> controls;
-    for (auto const& member : raft_->membership().members)
-        controls.insert(endpoint_text(member.host.value()));
-    for (auto const& [host, control] : known_controls_)
-        controls.insert(endpoint_text(host.value()));
-    controls.insert(settings_.peer_listen);
-    out.controls.assign(controls.begin(), controls.end());
     return out;
 }
 
--- a/src/fleet/registry_node.hpp
+++ b/src/fleet/registry_node.hpp
@@ -191,7 +191,7 @@
     /// On a leader: applies a change of the limits, and begins a new term.
     void update_quota_ledger(instant now);
     void add_lease_metrics(metric_sink const& line) const;
-    /// Tells entry hosts without a view what has changed in the directory of control hosts.
+    /// Tells all entry hosts in session what has changed in the directory of control hosts.
     void update_directory(instant now);
     void send_status(entry_session& entry);
     void push_changes(instant now);
--- a/src/fleet/view_messages.hpp
+++ b/src/fleet/view_messages.hpp
@@ -71,7 +71,7 @@
     /// Hashes of the names of ready entry hosts in session with the sender; empty when the list is
     /// not sent.
     std::vector<std::uint64_t> entries;
-    /// Endpoints of all control hosts; empty when the list is not sent.
+    /// Endpoints of control hosts from those of earlier versions; `control_status` tells them now.
     std::vector<endpoint_text> controls;
     /// Only when it changed since `from`: most changes leave it as it is, and with thousands of
     /// keys it is long.
--- a/test/correctness/fleet/membership_test.cpp
+++ b/test/correctness/fleet/membership_test.cpp
@@ -14,6 +14,8 @@
 
 /// Within which a fleet serves again after a fault of all of its hosts.
 constexpr double recovery_s = 15;
+/// Within which an acknowledged configuration is in force.
+constexpr int config_apply_ms = 2500;
 
 void pause_ms(int ms)
 {
@@ -86,3 +88,32 @@
         }
     }
 }
+
+// Review case 8: running entry hosts were not told of new control hosts, and kept their view for
+// good once all that they knew were outside of the group.
+SCENARIO("all control hosts that running entry hosts know are replaced by spare ones")
+{
+    platform_fleet_options options = fleet_options("platform-entries-stranded", 24600);
+    options.entries = 2;
+    options.spare_controls = 5;
+    platform_fleet fleet(options);
+    REQUIRE(fleet.start());
+    start_spares(fleet);
+    unsigned const leader = fleet.leader();
+    for (unsigned i = 0; i < options.controls; ++i)
+        if (i != leader)
+            restart_control(fleet, i);
+    restart_control(fleet, leader);
+    for (unsigned i = 0; i < options.controls; ++i)
+        REQUIRE(is_outside(fleet, i));
+    WHEN("the configuration changes")
+    {
+        REQUIRE(fleet.configure(2));
+        pause_ms(config_apply_ms);
+        THEN("it is in force on all entry hosts")
+        {
+            for (unsigned i = 0; i < options.entries; ++i)
+                CHECK(fleet.log_of(fleet.entry_name(i)).find(" version=2 ") != std::string::npos);
+        }
+    }
+}
