Don't let a member without a vote stop the control group's changes

Cause: two hosts could join for one free place, as the first had not answered yet when the next step was due. The one that stayed a member without a vote then ended each round at the rule that lets such members replicate the log first. No host that was lost later lost its vote, and the group lost its majority to hosts long gone.

Ruled out: a log that is never replicated (the member answers and holds it).

A replica without a vote forgets a leader that it no longer hears, as a removed one would give entry hosts its old view. Metrics `members`, `voters` and `silent_members` show the state.

--- a/src/control/raft.cpp
+++ b/src/control/raft.cpp
@@ -110,8 +110,12 @@
             broadcast(now);
         return;
     }
-    if (now >= election_due_ && is_voter())
-        start_pre_vote(now);
+    if (now < election_due_)
+        return;
+    if (is_voter())
+        return start_pre_vote(now);
+    // It may have been removed from the group, whose leader then tells it nothing more.
+    leader_ = host_name();
 }
 
 log_index raft::append_entry(entry_kind kind, std::string payload)
--- a/src/fleet/registry_group.cpp
+++ b/src/fleet/registry_group.cpp
@@ -51,8 +51,12 @@
         link_to(host);
     if (raft_->last_index().value() == 0 && !message.founding.empty())
         found_group(message.founding);
-    host_name const host = message.host;
-    known_controls_[host] = {std::move(message), instant::clock::now()};
+    instant const now = instant::clock::now();
+    known_control& known = known_controls_[message.host];
+    if (known.received_at + present_for <= now)
+        known.present_since = now;
+    known.received_at = now;
+    known.greeting = std::move(message);
 }
 
 void registry_node::found_group(std::string const& snapshot)
@@ -119,4 +123,17 @@
                    "\" outcome=" + (proposed ? "proposed" : to_string(proposed.error())));
 }
 
+std::size_t registry_node::silent_members(instant now) const
+{
+    auto const& members = raft_->membership().members;
+    return static_cast<std::size_t>(std::count_if(
+        members.begin(), members.end(),
+        [&](raft_member const& member)
+        {
+            auto const at = known_controls_.find(member.host);
+            return member.host != self_ &&
+                   (at == known_controls_.end() || at->second.received_at + present_for < now);
+        }));
+}
+
 } // namespace guavashed
--- a/src/fleet/registry_node.hpp
+++ b/src/fleet/registry_node.hpp
@@ -174,6 +174,8 @@
     bool may_answer_reads(instant now) const;
     void expire_upstreams(instant now);
     void flush_announced();
+    /// Members of the group that have not greeted this host lately.
+    std::size_t silent_members(instant now) const;
     std::string metrics() const;
 
     void on_entry_report(frame_session_ptr const& session, entry_report message);
--- a/src/fleet/registry_orders.cpp
+++ b/src/fleet/registry_orders.cpp
@@ -248,6 +248,9 @@
     line("bad_frames_total", counters_.bad_frames);
     add_lease_metrics(line);
     line("leads", raft_->is_leader() ? 1 : 0);
+    line("members", raft_->membership().members.size());
+    line("voters", raft_->membership().voters());
+    line("silent_members", silent_members(instant::clock::now()));
     line("applied_index", replica_->applied().value());
     line("config_version", register_.version().value());
     line("upstreams", register_.upstreams().size());
--- a/test/correctness/fleet/membership_test.cpp
+++ b/test/correctness/fleet/membership_test.cpp
@@ -5,6 +5,7 @@
 #include <catch2/catch.hpp>
 #include <chrono>
 #include <csignal>
+#include <deque>
 #include <thread>
 
 using namespace fleet_test;
@@ -45,6 +46,15 @@
     pause_ms(3000);
 }
 
+/// The control host that says that it leads; empty if none does.
+std::optional<unsigned> leader_of(platform_fleet& fleet)
+{
+    for (unsigned i = 0; i < fleet.options().controls + fleet.options().spare_controls; ++i)
+        if (fleet.control_metric(i, "leads") == 1)
+            return i;
+    return std::nullopt;
+}
+
 /// True for a control host that runs and follows no leader.
 bool is_outside(platform_fleet& fleet, unsigned control)
 {
@@ -55,6 +65,47 @@
 
 } // namespace
 
+// Review case 6: two hosts became members without a vote for one free place, and the one that
+// stayed such a member stopped all further changes. The group then lost its majority to hosts long
+// gone.
+SCENARIO("control hosts are replaced one after the other while another one restarts")
+{
+    platform_fleet_options options = fleet_options("platform-replaced", 24400);
+    options.entries = 1;
+    options.spare_controls = 5;
+    options.spares_come_first = true;
+    platform_fleet fleet(options);
+    REQUIRE(fleet.start());
+    constexpr unsigned restarting = 4;
+    unsigned successor = options.controls;
+    // Two of five are lost at once, and both places are taken again before the next two are lost.
+    std::deque<unsigned> next_gone{0, 1, 3};
+    for (int round = 0; round < 5; ++round)
+    {
+        kill_control(fleet, restarting);
+        pause_ms(1200);
+        kill_control(fleet, next_gone.front());
+        next_gone.pop_front();
+        pause_ms(2000);
+        fleet.start_control(successor);
+        next_gone.push_back(successor++);
+        pause_ms(100);
+        fleet.start_control(restarting);
+        pause_ms(7000);
+        INFO("round " << round);
+        auto const leader = leader_of(fleet);
+        REQUIRE(leader);
+        CHECK(fleet.control_metric(*leader, "voters") == 5);
+        CHECK(fleet.control_metric(*leader, "members") == 5);
+        CHECK(fleet.control_metric(*leader, "silent_members") == 0);
+    }
+    THEN("a change is acknowledged, and read back")
+    {
+        CHECK(fleet.configure(2, 5));
+        CHECK(fleet.read_version(restarting) == 2);
+    }
+}
+
 // Review case 7: an entry host that starts knows its seeds only. Once these were replaced by spare
 // hosts, no entry host received a view after a restart.
 SCENARIO("entry hosts start while all their seeds are outside of the control group")
--- a/test/fleet/platform_fleet.cpp
+++ b/test/fleet/platform_fleet.cpp
@@ -60,7 +60,9 @@
 
 std::string platform_fleet::control_ip(unsigned i) const
 {
-    return "127.0.2." + std::to_string(10 + i);
+    // Names are compared as text.
+    bool const comes_first = options_.spares_come_first && i >= options_.controls;
+    return "127.0.2." + std::to_string((comes_first ? 100 : 10) + i);
 }
 
 std::string platform_fleet::entry_ip(unsigned i) const
@@ -262,6 +264,19 @@
     return outcome.response->status;
 }
 
+std::optional<std::uint64_t> platform_fleet::control_metric(unsigned control,
+                                                            std::string const& name)
+{
+    std::string answer;
+    std::string const key = "guavashed_control_" + name + " ";
+    if (request_control(control, "GET", "/metrics", {}, &answer) != 200)
+        return std::nullopt;
+    auto const at = answer.find(key);
+    if (at == std::string::npos)
+        return std::nullopt;
+    return std::stoull(answer.substr(at + key.size()));
+}
+
 std::optional<http_response> platform_fleet::call_entry(unsigned entry, http_request request)
 {
     http_call order;
--- a/test/fleet/platform_fleet.hpp
+++ b/test/fleet/platform_fleet.hpp
@@ -28,6 +28,8 @@
     unsigned controls = 5;
     /// Control hosts after these that `start` leaves out.
     unsigned spare_controls = 0;
+    /// Whether the names of these in the group come before those of all others, or after.
+    bool spares_come_first = false;
     unsigned entries = 3;
     unsigned upstreams = 6;
     unsigned work_ms = 30;
@@ -90,6 +92,8 @@
     bool configure(std::uint64_t version, double limit_s = 10, std::string const& upsert = {});
     /// Replaces the table of workspaces in the configurations that are submitted from now on.
     void set_tenants(std::string tenants) { options_.tenants = std::move(tenants); }
+    /// A metric of a control host, by its name without the prefix; empty without an answer.
+    std::optional<std::uint64_t> control_metric(unsigned control, std::string const& name);
     /// Configuration version that a control host returns; 0 when the request fails.
     std::uint64_t read_version(unsigned control);
     std::uint64_t accepted_version() const { return accepted_; }
