Don't pass on an answer that a reset cut during the upload

Cause: an answer without a length lasts until the connection ends. The write of the upload that was under way took the connection's error, and the read after it saw an end of the stream behind the bytes that had arrived.

Evidence: the same reset after a request that was sent in whole fails the call ("without a length, by a reset", which passes on the untouched code); with an upload of 16 MB the call ended with a response. Ruled out: answers with a length and in chunks, which the parser doesn't take for whole.

Fix: after a failed send an answer counts only if its own framing says that it is whole.

Failed before: error, "an answer without a length that a reset cuts during the upload is not complete", 5 of 5 forms; correctness_fleet, "an answer that breaks off never reaches a caller as a success", with the program of the untouched code, "in a body without a length, by a reset": 200 instead of 502. Both pass now.

--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -280,7 +280,9 @@
 
     void on_read(beast::error_code code)
     {
-        if (code && send_failed_)
+        // The failed send has taken the connection's error: a reset then reads like the end of the
+        // connection, which is all that ends an answer without a length.
+        if (send_failed_ && (code || parser_->need_eof()))
             return finish_failed(send_stage::sent, step_error("send", send_failed_));
         if (oversized_)
             return finish_failed(send_stage::sent, *oversized_);
--- a/test/correctness/fleet/broken_answer_test.cpp
+++ b/test/correctness/fleet/broken_answer_test.cpp
@@ -1,4 +1,4 @@
-// Guards against an answer that breaks off in its head and reaches the caller as a complete one.
+// Guards against an answer that breaks off and reaches the caller as a complete one.
 #include "../../error/raw_caller.hpp"
 #include "../../error/scripted_upstream.hpp"
 #include "base/endpoint.hpp"
@@ -11,7 +11,7 @@
 using guavashed::raw_caller;
 using guavashed::scripted_upstream;
 
-SCENARIO("an answer that breaks off in its head never reaches a caller as a success")
+SCENARIO("an answer that breaks off never reaches a caller as a success")
 {
     std::string const head = "HTTP/1.1 200 OK\r\nX-Guavashed-Request-Id: 1\r\n"
                              "X-Guavashed-Response-Signature: s\r\n";
@@ -21,11 +21,15 @@
         {"within a field", {{head + "Content-Le"}, "", true}},
         {"within its end", {{head + "Content-Length: 2\r\n\r"}, "", true}},
         {"between two fields, by a reset", {{head}, "", false, true}},
+        {"in a body without a length, by a reset", {{head + "\r\nabc"}, "", false, true}},
     }));
     INFO(name);
     platform_fleet_options options = fleet_options("broken-answer", 24300);
     options.entries = 1;
     options.upstreams = 0;
+    // More than the socket buffers between an entry host and an upstream hold.
+    constexpr std::size_t upload_bytes = 16 * 1024 * 1024;
+    options.max_body_bytes = upload_bytes;
     platform_fleet fleet(options);
     REQUIRE(fleet.start());
     scripted_upstream upstream(script);
@@ -44,6 +48,14 @@
         raw_caller caller(entry, "POST /confirm/1" + fields + "Content-Length: 2\r\n\r\n{}");
         CHECK(caller.receive_until("}").starts_with("HTTP/1.1 502"));
     }
+    // Guards against the part of an answer that a reset cut while the upload was being written.
+    GIVEN("a long upload that may run once")
+    {
+        std::string const body(upload_bytes, 'u');
+        raw_caller caller(entry, "POST /confirm/1" + fields + "Content-Length: " +
+                                     std::to_string(body.size()) + "\r\n\r\n" + body);
+        CHECK(caller.receive_until("}").starts_with("HTTP/1.1 502"));
+    }
     GIVEN("two pipelined requests that may run again")
     {
         std::string const request = "GET /check/1" + fields + "\r\n";
--- a/test/error/http_client_support.hpp
+++ b/test/error/http_client_support.hpp
@@ -22,13 +22,14 @@
     ~running_client() { owner.stop(); }
 
     std::future<http_outcome> start(endpoint_text const& endpoint, std::string const& id,
-                                    int limit_ms = 3000)
+                                    int limit_ms = 3000, http_request request = {})
     {
         auto done = std::make_shared<std::promise<http_outcome>>();
         http_call call;
         call.endpoint = endpoint;
         call.deadline = instant::clock::now() + milliseconds(limit_ms);
         call.expected_id = id;
+        call.request = std::move(request);
         boost::asio::post(owner.context(),
                           [this, done, call = std::move(call)]() mutable
                           {
--- a/test/error/upstream_answer_test.cpp
+++ b/test/error/upstream_answer_test.cpp
@@ -209,6 +209,44 @@
     CHECK(outcome.stage == send_stage::sent);
 }
 
+// Guards against an answer whose end is the end of the connection, where that end was a reset: the
+// failed send of an upload took the error, and the reader saw an end of file behind the bytes.
+SCENARIO("an answer without a length that a reset cuts during the upload is not complete")
+{
+    // More than the socket buffers of both sides hold.
+    http_request upload{"POST", "/confirm/1", {}, std::string(16 * 1024 * 1024, 'u'), {}};
+    std::string const fields = "X-Request-Id: 1\r\n";
+    auto const [name, answer] = GENERATE_COPY(table<std::string, std::string>({
+        {"until the end of the connection", "HTTP/1.1 200 OK\r\n" + fields + "\r\nabc"},
+        {"with Connection: close", "HTTP/1.1 200 OK\r\n" + fields + "Connection: close\r\n\r\nabc"},
+        {"in HTTP/1.0", "HTTP/1.0 200 OK\r\n" + fields + "\r\nabc"},
+        {"without a body so far", "HTTP/1.1 200 OK\r\n" + fields + "\r\n"},
+        {"a refusal", "HTTP/1.1 503 Busy\r\n" + fields + "\r\nabc"},
+    }));
+    INFO(name);
+    scripted_upstream upstream({{answer}, "", false, true});
+    running_client running;
+    auto const outcome = running.start(upstream.endpoint(), "1", 3000, upload).get();
+    CHECK_FALSE(outcome.response);
+    CHECK(outcome.stage == send_stage::sent);
+}
+
+// Guards against dropping an answer that is known to be whole, such as a refusal of a long upload.
+SCENARIO("an answer with a length that comes during the upload is passed on")
+{
+    http_request upload{"POST", "/confirm/1", {}, std::string(16 * 1024 * 1024, 'u'), {}};
+    std::string const head = "HTTP/1.1 413 Too Large\r\nX-Request-Id: 1\r\n";
+    std::string const answer =
+        GENERATE_COPY(head + "Content-Length: 3\r\n\r\nabc",
+                      head + "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n");
+    scripted_upstream upstream({{answer}, "", false, true});
+    running_client running;
+    auto const outcome = running.start(upstream.endpoint(), "1", 3000, upload).get();
+    REQUIRE(outcome.response);
+    CHECK(outcome.response->status == 413);
+    CHECK(outcome.response->body == "abc");
+}
+
 // Guards against passing on a status that no caller understands, and against taking an upstream in
 // trouble for one that has answered.
 SCENARIO("a response with a status outside 200 to 599 is not valid")
--- a/test/fleet/platform_fleet.cpp
+++ b/test/fleet/platform_fleet.cpp
@@ -323,7 +323,9 @@
            "\"warmup_s\":2.0,\"warmup_per_s\":6}}," +
            (options_.tenants.empty() ? "" : "\"tenants\":" + options_.tenants + ",") +
            "\"limits\":{\"max_header_bytes\":16384,"
-           "\"max_body_bytes\":1048576,\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000}}";
+           "\"max_body_bytes\":" +
+           std::to_string(options_.max_body_bytes) +
+           ",\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000}}";
 }
 
 bool platform_fleet::configure(std::uint64_t version, double limit_s, std::string const& upsert)
--- a/test/fleet/platform_fleet.hpp
+++ b/test/fleet/platform_fleet.hpp
@@ -53,6 +53,8 @@
     std::string tenants;
     /// Further items of the setting `bounds`, each with a comma before it.
     std::string extra_bounds;
+    /// Longest body of a request that entry hosts accept.
+    std::size_t max_body_bytes = 1024 * 1024;
     /// Routes without requests, which make each configuration longer.
     unsigned unused_routes = 0;
     std::uint64_t seed = 1;
