A control host without a log says that it follows no leader

Entry hosts would have dropped their connections to members that were restarting. Test: correctness, "a control host tells entry hosts of the control hosts that it has heard", "one that has no log yet follows no leader": fails without the change (1 check), passes with it.

--- a/src/fleet/control_directory.cpp
+++ b/src/fleet/control_directory.cpp
@@ -14,6 +14,8 @@
 void control_directory::update(instant now, bool has_leader, raft_membership const& members,
                                std::map<host_name, known_control> const& known)
 {
+    // A new member hears the leader before it has a log, and with it the members.
+    has_leader = has_leader && !members.members.empty();
     if (has_leader)
         leader_lost_by_ = instant::max();
     else if (leader_lost_by_ == instant::max())
--- a/test/correctness/registry/control_directory_test.cpp
+++ b/test/correctness/registry/control_directory_test.cpp
@@ -94,6 +94,12 @@
         CHECK(directory.status().members == controls({0, 1, 2}));
         CHECK(directory.status().others == controls({5}));
     }
+    SECTION("one that has no log yet follows no leader, as it can't say who is gone")
+    {
+        directory.update(start, true, members({}), heard({1, 5}, start));
+        CHECK_FALSE(directory.status().has_leader);
+        CHECK(directory.status().others == controls({1, 5}));
+    }
     SECTION("an election changes nothing, and a leader that is lost for longer does")
     {
         directory.update(start, true, members({0, 1, 2}), heard({1, 2}, start));
