Add and replace control hosts in the soak

Seeds without spares draw the same faults as before. At the end each entry host has to have the configuration that was accepted after all faults, 2.5 s after its acknowledgement.

--- a/test/fleet/platform_soak.cpp
+++ b/test/fleet/platform_soak.cpp
@@ -32,6 +32,15 @@
 constexpr unsigned steps_between_leaving = 8;
 /// Mean of the steps from one link that repeats or holds up data to the next.
 constexpr unsigned steps_between_odd_links = 4;
+/// Mean of the steps from one control host that is added or replaced to the next, where there are
+/// spare ones.
+constexpr unsigned steps_between_members = 5;
+/// From the loss of a control host for good to the start of its successor.
+constexpr std::chrono::milliseconds successor_delay{2000};
+/// Control hosts that settings name as seeds stay, since nobody rewrites the settings here.
+constexpr unsigned seed_controls = 3;
+/// Within which an acknowledged configuration is in force.
+constexpr std::chrono::milliseconds config_apply{2500};
 /// What a link held up arrives within this time after it is whole again.
 constexpr guavashed::milliseconds link_settle{1000};
 
@@ -41,7 +50,7 @@
     fault_source(platform_fleet& fleet, standin::platform_caller& caller, workspace_keys& keys,
                  std::uint64_t seed)
         : fleet_(fleet), caller_(caller), keys_(keys), random_(seed), statement_random_(seed),
-          link_random_(seed)
+          link_random_(seed), member_random_(seed)
     {
     }
 
@@ -65,6 +74,8 @@
             state_leaving();
         if (link_random_() % steps_between_odd_links == 0)
             disturb_answers();
+        if (fleet_.options().spare_controls > 0 && member_random_() % steps_between_members == 0)
+            change_members();
         if (keys_.step())
             submit(fleet_.accepted_version() + 1, "{\"tenants\":" + keys_.table() + "}");
     }
@@ -78,7 +89,7 @@
     void check_version()
     {
         std::uint64_t const accepted = fleet_.accepted_version();
-        for (unsigned i = 0; i < fleet_.options().controls; ++i)
+        for (unsigned i = 0; i < controls(); ++i)
             if (std::uint64_t const read = fleet_.read_version(i); read != 0 && read < accepted)
                 violations_.push_back(fleet_.control_name(i) + " returned configuration version " +
                                       std::to_string(read) + " after acknowledgement of version " +
@@ -126,6 +137,8 @@
         return {};
     }
     unsigned random_index(unsigned count) { return static_cast<unsigned>(random_() % count); }
+    /// Control hosts that have been started, those that are gone for good among them.
+    unsigned controls() const { return fleet_.options().controls + started_spares_; }
 
     /// Signals a running process and schedules its restart.
     void end(std::string const& name, int signal, std::function<void()> restart)
@@ -169,7 +182,7 @@
     }
     void end_control(int signal)
     {
-        unsigned const i = random_index(fleet_.options().controls);
+        unsigned const i = random_index(controls());
         end(fleet_.control_name(i), signal, [this, i] { fleet_.start_control(i); });
     }
 
@@ -178,21 +191,21 @@
     void freeze_entry() { freeze(fleet_.entry_name(random_index(fleet_.options().entries))); }
     void kill_control() { end_control(SIGKILL); }
     void stop_control() { end_control(SIGTERM); }
-    void freeze_control() { freeze(fleet_.control_name(random_index(fleet_.options().controls))); }
+    void freeze_control() { freeze(fleet_.control_name(random_index(controls()))); }
     void kill_all_controls()
     {
         print_action("kill all control hosts");
-        for (unsigned i = 0; i < fleet_.options().controls; ++i)
+        for (unsigned i = 0; i < controls(); ++i)
             end(fleet_.control_name(i), SIGKILL, [this, i] { fleet_.start_control(i); });
     }
     void lose_disk()
     {
         std::erase_if(disks_lost_, [](steady::time_point until) { return until < steady::now(); });
-        unsigned const i = random_index(fleet_.options().controls);
+        unsigned const i = random_index(controls());
         std::string const name = fleet_.control_name(i);
         // Nothing is guaranteed beyond two lost disks at once, and hosts that are down or frozen
         // count like hosts with lost disks.
-        if (disks_lost_.size() >= max_disks_lost || !faulted_.empty())
+        if (disks_lost_.size() >= max_disks_lost || !faulted_.empty() || gone_.contains(i))
             return;
         print_action("lose the disk of " + name);
         fleet_.processes().signal(name, SIGKILL);
@@ -201,6 +214,32 @@
         fleet_.start_control(i);
         disks_lost_.push_back(steady::now() + disk_recovery);
     }
+    /// Adds a spare control host, or removes a control host for good and starts its successor.
+    void change_members()
+    {
+        if (started_spares_ == fleet_.options().spare_controls)
+            return;
+        unsigned const spare = controls();
+        if (member_random_() % 2 == 0)
+        {
+            print_action("add " + fleet_.control_name(spare));
+            ++started_spares_;
+            return fleet_.start_control(spare);
+        }
+        std::erase_if(disks_lost_, [](steady::time_point until) { return until < steady::now(); });
+        auto const i = static_cast<unsigned>(member_random_() % controls());
+        if (i < seed_controls || gone_.contains(i) || disks_lost_.size() >= max_disks_lost ||
+            !faulted_.empty())
+            return;
+        print_action("replace " + fleet_.control_name(i) + " by " + fleet_.control_name(spare));
+        ++started_spares_;
+        gone_.insert(i);
+        fleet_.processes().signal(fleet_.control_name(i), SIGKILL);
+        fleet_.processes().await(fleet_.control_name(i), 5);
+        disks_lost_.push_back(steady::now() + successor_delay + disk_recovery);
+        schedule_undo(static_cast<int>(successor_delay.count()),
+                      [this, spare] { fleet_.start_control(spare); });
+    }
     void crash_upstream()
     {
         unsigned const i = random_index(fleet_.options().upstreams);
@@ -315,6 +354,11 @@
     std::mt19937_64 random_;
     std::mt19937_64 statement_random_;
     std::mt19937_64 link_random_;
+    std::mt19937_64 member_random_;
+    /// Spare control hosts that have been started, or will be shortly.
+    unsigned started_spares_ = 0;
+    /// Control hosts that were removed for good.
+    std::set<unsigned> gone_;
     std::vector<pending_undo> pending_undos_;
     std::set<std::string> faulted_;
     std::vector<steady::time_point> disks_lost_;
@@ -331,6 +375,7 @@
     options.binary = given.text("binaries", "build") + "/guavashed-platform";
     options.base_port = static_cast<unsigned>(given.number("base-port", 24000));
     options.entries = static_cast<unsigned>(given.number("entries", 4));
+    options.spare_controls = static_cast<unsigned>(given.number("spares", 0));
     options.upstreams = static_cast<unsigned>(given.number("upstreams", 8));
     options.seed = static_cast<std::uint64_t>(given.number("seed", 1));
     options.unanswered_share = 0.02;
@@ -366,6 +411,12 @@
         violations.push_back(
             "no configuration was accepted within 15 s after all faults had ended");
     faults.check_version();
+    std::this_thread::sleep_for(config_apply);
+    std::string const newest = " version=" + std::to_string(fleet.accepted_version()) + " ";
+    for (unsigned i = 0; i < options.entries; ++i)
+        if (fleet.log_of(fleet.entry_name(i)).find(newest) == std::string::npos)
+            violations.push_back(fleet.entry_name(i) + " has no view with the configuration" +
+                                 newest + "that was accepted after all faults had ended");
     auto const report = check_invariants(caller.calls(), fleet.records());
     violations.insert(violations.end(), report.violations.begin(), report.violations.end());
     auto const statements = check_statements(caller.calls(), fleet.records(), faults.disturbed());
