--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -3,9 +3,9 @@
 
 #include "base/endpoint.hpp"
 #include "base/log.hpp"
-#include "base/response_status.hpp"
 #include "transport/connection_pool.hpp"
 #include "transport/transfer_progress.hpp"
+#include "transport/upstream_answer.hpp"
 
 #include <algorithm>
 #include <boost/beast/core.hpp>
@@ -25,28 +25,12 @@
 namespace
 {
 
-constexpr std::size_t max_response_bytes = 16 * 1024 * 1024;
-/// Most bytes that one read adds to a body, with what was read ahead before.
-constexpr std::size_t max_read_bytes = 128 * 1024;
-/// Bodies above grow by a half at a time. A string doubles, and holds its old bytes meanwhile:
-/// three times the body, of which a third is counted before.
-constexpr std::size_t large_body_bytes = 512 * 1024;
 /// Interim answers (1xx) that may precede an answer.
 constexpr int max_interim_answers = 8;
 /// An upstream that has sent less than a step of its answer for this long counts as stalled. Those
 /// that send at the rate of a slow link (16 KB/s and more) don't.
 constexpr milliseconds stall_time{1000};
 
-http_response to_http_response(http::response<http::string_body>&& message)
-{
-    http_response out;
-    out.status = message.result_int();
-    for (auto const& field : message)
-        out.fields.push_back({std::string(field.name_string()), std::string(field.value())});
-    out.body = std::move(message.body());
-    return out;
-}
-
 } // namespace
 
 class http_client::implementation : public std::enable_shared_from_this<implementation>
@@ -219,7 +203,7 @@
     {
         if (code)
             return on_read(code);
-        if (parser_->is_header_done() && !has_known_status())
+        if (parser_->is_header_done() && !has_known_status(parser_->get().result_int()))
             return finish_failed(send_stage::sent,
                                  fail(error_code::invalid_request, "read answer",
                                       call_.endpoint.value(),
@@ -262,12 +246,11 @@
     void make_room()
     {
         std::string& body = parser_->get().body();
-        bool const has_room = body.capacity() - body.size() >= max_read_bytes;
-        if (has_room || body.size() < large_body_bytes || parser_->content_length())
+        if (parser_->content_length())
+            return;
+        std::size_t const wanted = room_for_next_read(body.size(), body.capacity());
+        if (wanted == 0)
             return;
-        std::size_t const wanted =
-            std::max(std::min(body.size() + body.size() / 2, max_response_bytes),
-                     body.size() + max_read_bytes);
         count_buffered(wanted);
         if (oversized_)
             return;
@@ -288,7 +271,7 @@
             return finish_failed(send_stage::sent, *oversized_);
         if (code)
             return finish_failed(send_stage::sent, step_error("read answer", code));
-        if (!has_known_coding())
+        if (!has_known_coding(parser_->get()))
             return finish_failed(send_stage::sent,
                                  fail(error_code::invalid_request, "read answer",
                                       call_.endpoint.value(),
@@ -311,23 +294,6 @@
         finish(std::move(outcome));
     }
 
-    /// False for a status that is neither one of a final response nor of an interim one.
-    bool has_known_status() const
-    {
-        unsigned const status = parser_->get().result_int();
-        return status / 100 == 1 || is_response_status(status);
-    }
-
-    /// False for a transfer coding that the parser doesn't decode; the body would be passed on
-    /// encoded, without the field that says so.
-    bool has_known_coding() const
-    {
-        auto const& head = parser_->get();
-        auto const codings = head.count(http::field::transfer_encoding);
-        return codings == 0 ||
-               (codings == 1 && beast::iequals(head[http::field::transfer_encoding], "chunked"));
-    }
-
     error step_error(char const* step, beast::error_code code) const
     {
         auto const kind =
--- a/test/correctness/fleet/membership_test.cpp
+++ b/test/correctness/fleet/membership_test.cpp
@@ -29,6 +29,14 @@
     fleet.processes().await(fleet.control_name(control), 5);
 }
 
+platform_fleet_options spared_options(std::string const& name, unsigned base_port)
+{
+    platform_fleet_options out = fleet_options(name, base_port);
+    out.entries = 2;
+    out.spare_controls = 5;
+    return out;
+}
+
 void start_spares(platform_fleet& fleet)
 {
     unsigned const first = fleet.options().controls;
@@ -110,9 +118,7 @@
 // hosts, no entry host received a view after a restart.
 SCENARIO("entry hosts start while all their seeds are outside of the control group")
 {
-    platform_fleet_options options = fleet_options("platform-seeds-outside", 24500);
-    options.entries = 2;
-    options.spare_controls = 5;
+    platform_fleet_options const options = spared_options("platform-seeds-outside", 24500);
     platform_fleet fleet(options);
     REQUIRE(fleet.start());
     start_spares(fleet);
@@ -144,9 +150,7 @@
 // good once all that they knew were outside of the group.
 SCENARIO("all control hosts that running entry hosts know are replaced by spare ones")
 {
-    platform_fleet_options options = fleet_options("platform-entries-stranded", 24600);
-    options.entries = 2;
-    options.spare_controls = 5;
+    platform_fleet_options const options = spared_options("platform-entries-stranded", 24600);
     platform_fleet fleet(options);
     REQUIRE(fleet.start());
     start_spares(fleet);
--- a/test/correctness/registry/membership_planner_test.cpp
+++ b/test/correctness/registry/membership_planner_test.cpp
@@ -75,6 +75,17 @@
         propose(next);
     }
 
+    /// Ends the first voter for good, and takes its vote.
+    void lose_first_voter()
+    {
+        group.crash(first_voter);
+        group.settle(2500);
+        auto const removed = step();
+        REQUIRE(removed);
+        REQUIRE(removed->next.voters() == 4);
+        propose(removed->next);
+    }
+
     /// Greetings of all hosts that run. Hosts in `returned` began to greet just now.
     known_controls known()
     {
@@ -290,12 +301,7 @@
     }
     SECTION("a member without a vote that is gone does not keep its place")
     {
-        fleet.group.crash(fleet.first_voter);
-        fleet.group.settle(2500);
-        auto removed = fleet.step();
-        REQUIRE(removed);
-        REQUIRE(fleet.group.core(fleet.leader).propose_membership(removed->next));
-        fleet.group.settle(200);
+        fleet.lose_first_voter();
         fleet.group.crash(second_spare);
         fleet.add_learner(second_spare);
         fleet.follow_planner(20);
@@ -304,12 +310,7 @@
     }
     SECTION("a member that answers but never has the log holds up others for a limited time only")
     {
-        fleet.group.crash(fleet.first_voter);
-        fleet.group.settle(2500);
-        auto removed = fleet.step();
-        REQUIRE(removed);
-        REQUIRE(fleet.group.core(fleet.leader).propose_membership(removed->next));
-        fleet.group.settle(200);
+        fleet.lose_first_voter();
         fleet.group.crash(second_spare);
         fleet.add_learner(second_spare);
         for (int round = 0; round < 80; ++round)
