Keep a source that has not heard of a new leader yet

A new leader is the first to know that it leads, so that entry hosts without a view turned to it at once, and took the whole view from its region instead of from their own control host a round trip later. A source that has lost its leader is now left only once another one has had a leader for 500 ms; so is one for a session whose status has not arrived.

--- a/src/fleet/gateway_links.cpp
+++ b/src/fleet/gateway_links.cpp
@@ -85,7 +85,11 @@
     instant const now = instant::clock::now();
     for (auto& [endpoint, control] : control_links_)
         if (control.session == &session)
+        {
+            if (control.status && !control.status->has_leader && status.has_leader)
+                control.preferred_from = now + leader_known_within;
             control.status = std::move(status);
+        }
     update_control_links(now);
     select_source(now);
     report_when_due(now);
@@ -116,7 +120,7 @@
     std::vector<source_candidate> candidates;
     for (auto const& [endpoint, control] : control_links_)
         candidates.push_back({endpoint, control.session != nullptr, is_heard(control, now),
-                              !control.status || control.status->has_leader,
+                              !control.status || control.status->has_leader, control.preferred_from,
                               control.link->round_trip(), control.source_since});
     if (auto const next =
             choose_source(candidates, {source_, view_index_ != 0, source_until_}, now))
@@ -185,6 +189,7 @@
         log_change(log_level::info, "control_connected",
                    "peer=" + session->peer() + " sessions=" + std::to_string(open_sessions()));
         control.status.reset();
+        control.preferred_from = now + leader_known_within;
         select_source(now);
         report_to(endpoint, control, now);
         lease_.note_session_opened(now);
--- a/src/fleet/gateway_node.hpp
+++ b/src/fleet/gateway_node.hpp
@@ -163,6 +163,8 @@
         frame_session* session = nullptr;
         /// As received in the open session.
         std::optional<control_status> status;
+        /// When a source without a leader is left for this control host.
+        instant preferred_from;
         /// When it became the source last.
         instant source_since;
         /// As last reported to that control host.
--- a/src/fleet/source_choice.cpp
+++ b/src/fleet/source_choice.cpp
@@ -46,7 +46,7 @@
     if (!is_heard)
         return source_switch{best->control,
                              current != nullptr && current->is_open ? "silent" : "nearest"};
-    if (best->has_leader && !current->has_leader)
+    if (best->has_leader && !current->has_leader && now >= best->preferred_from)
         return source_switch{best->control, "no_leader"};
     if (view_timed_out)
         return source_switch{best->control, "no_view"};
--- a/src/fleet/source_choice.hpp
+++ b/src/fleet/source_choice.hpp
@@ -15,6 +15,10 @@
 /// For a source to deliver the first view; that takes a few hundred milliseconds on the slowest
 /// links. Also how long a source is kept at least.
 constexpr milliseconds initial_view_timeout{1500};
+/// For a source to learn of a new leader after others have, and for a status to arrive on a new
+/// session: until then a source without a leader is kept, or all entry hosts would turn to the new
+/// leader at once, and take their views from another region.
+constexpr milliseconds leader_known_within{500};
 
 struct source_candidate
 {
@@ -25,6 +29,8 @@
     bool is_heard = false;
     /// It follows a leader, as far as it has said; others deliver no views.
     bool has_leader = true;
+    /// When a source without a leader is left for this one.
+    instant preferred_from;
     std::chrono::microseconds round_trip{0};
     /// When it was chosen last; `instant()` if it never was.
     instant chosen_at;
@@ -47,8 +53,9 @@
 };
 
 /// Returns the next source, or nothing where the current one stays: the nearest control host that
-/// is heard and follows a leader. Without a view all control hosts are tried in turn, as one that
-/// delivers none may be partitioned from the group without knowing it. Thread safe.
+/// is heard and follows a leader, for a while where the current one is heard. Without a view all
+/// control hosts are tried in turn, as one that delivers none may be partitioned from the group
+/// without knowing it. Thread safe.
 std::optional<source_switch> choose_source(std::vector<source_candidate> const& candidates,
                                            current_source const& source, instant now);
 
--- a/test/correctness/registry/source_choice_test.cpp
+++ b/test/correctness/registry/source_choice_test.cpp
@@ -119,6 +119,34 @@
         REQUIRE(next);
         CHECK(next->control == endpoint_text("far:1"));
     }
+    // Guards against hundreds of entry hosts that take their views from a new leader's region, as
+    // the leader is the first one to know.
+    SECTION("a source that has not heard of a new leader yet is kept for a while")
+    {
+        source.until = start + std::chrono::seconds(10);
+        candidates[0].has_leader = candidates[1].has_leader = false;
+        candidates[2].preferred_from = start + leader_known_within;
+        CHECK_FALSE(choose_source(candidates, source, start));
+        CHECK_FALSE(choose_source(candidates, source, start + milliseconds(400)));
+
+        AND_WHEN("it hears of the leader meanwhile")
+        {
+            candidates[1].has_leader = true;
+            THEN("it stays the source")
+            {
+                CHECK_FALSE(choose_source(candidates, source, candidates[2].preferred_from));
+            }
+        }
+        AND_WHEN("it doesn't")
+        {
+            auto const next = choose_source(candidates, source, candidates[2].preferred_from);
+            THEN("it is replaced")
+            {
+                REQUIRE(next);
+                CHECK(next->control == endpoint_text("far:1"));
+            }
+        }
+    }
     SECTION("nothing changes while nobody follows a leader")
     {
         source.until = start + std::chrono::seconds(10);
