--- a/src/fleet/source_choice.cpp
+++ b/src/fleet/source_choice.cpp
@@ -48,7 +48,8 @@
                              current != nullptr && current->is_open ? "silent" : "nearest"};
     if (best->has_leader && !current->has_leader && now >= best->preferred_from)
         return source_switch{best->control, "no_leader"};
-    if (view_timed_out)
+    // While nobody follows a leader, nobody delivers a view.
+    if (view_timed_out && best->has_leader)
         return source_switch{best->control, "no_view"};
     if (!is_settled && best->round_trip * nearer_factor < current->round_trip)
         return source_switch{best->control, "nearest"};
--- a/test/correctness/registry/source_choice_test.cpp
+++ b/test/correctness/registry/source_choice_test.cpp
@@ -69,6 +69,13 @@
         CHECK(tried_without_view(candidates, 1) ==
               std::vector<endpoint_text>{endpoint_text("far:1")});
     }
+    SECTION("it stays with the nearest one while all of them say that they have no leader")
+    {
+        for (auto& item : candidates)
+            item.has_leader = false;
+        CHECK(tried_without_view(candidates, 4) ==
+              std::vector<endpoint_text>{endpoint_text("near:1")});
+    }
     SECTION("a source that says that it has no leader is left before its time is over")
     {
         current_source const source{endpoint_text("near:1"), false, start + initial_view_timeout};
