--- a/src/fleet/gateway_links.cpp
+++ b/src/fleet/gateway_links.cpp
@@ -21,6 +21,7 @@
 /// frozen. Another one is taken well before the session times out, since a change that the source
 /// doesn't push arrives later, or never if the group then fails.
 constexpr milliseconds max_source_silence{700};
+
 } // namespace
 
 void gateway_node::add_link(endpoint_text const& control, instant connect_due)
--- a/src/fleet/source_choice.hpp
+++ b/src/fleet/source_choice.hpp
@@ -52,10 +52,11 @@
     std::string reason;
 };
 
-/// Returns the next source, or nothing where the current one stays: the nearest control host that
-/// is heard and follows a leader, for a while where the current one is heard. Without a view all
-/// control hosts are tried in turn, as one that delivers none may be partitioned from the group
-/// without knowing it. Thread safe.
+/// Returns the next source, or nothing where the current one stays. The next one is the nearest
+/// control host that is heard and follows a leader. It replaces a source that is silent at once,
+/// one that follows no leader from `preferred_from` on, and one that works from `until` on if it is
+/// much nearer. Without a view all control hosts that may have a leader are tried in turn, as one
+/// that delivers none may be partitioned from the group without knowing it. Thread safe.
 std::optional<source_switch> choose_source(std::vector<source_candidate> const& candidates,
                                            current_source const& source, instant now);
 
