--- a/src/fleet/gateway_links.cpp
+++ b/src/fleet/gateway_links.cpp
@@ -85,12 +85,14 @@
 {
     instant const now = instant::clock::now();
     for (auto& [endpoint, control] : control_links_)
-        if (control.session == &session)
-        {
-            if (control.status && !control.status->has_leader && status.has_leader)
-                control.preferred_from = now + leader_known_within;
-            control.status = std::move(status);
-        }
+    {
+        if (control.session != &session)
+            continue;
+        if (control.status && !control.status->has_leader && status.has_leader)
+            control.preferred_from = now + leader_known_within;
+        control.status = std::move(status);
+        break;
+    }
     update_control_links(now);
     select_source(now);
     report_when_due(now);
