--- a/src/fleet/source_choice.cpp
+++ b/src/fleet/source_choice.cpp
@@ -1,7 +1,6 @@
 // Chooses the control host from which an entry host receives its view.
 #include "fleet/source_choice.hpp"
 
-#include <algorithm>
 #include <tuple>
 
 namespace guavashed
