--- a/review/stand-3/foreign_heartbeat.cpp
+++ b/review/stand-3/foreign_heartbeat.cpp
@@ -14,8 +14,7 @@
 
     platform fleet(binary, arguments[2], 3, 2);
     fleet.start_all(3);
-    int const configured =
-        call_control(fleet, "PUT", "/v1/config", first_configuration(), 15);
+    int const configured = call_control(fleet, "PUT", "/v1/config", first_configuration(), 15);
     log.line("operator  PUT /v1/config status=" + std::to_string(configured));
     if (configured != 200 || !wait_ready(fleet, 15))
         return 2;
@@ -48,8 +47,8 @@
             "\"warmup_left_ms\":0}}";
         int const status =
             call_control(fleet, "PUT", "/v1/instances/" + victim.of().id, beat, 5, 1);
-        log.line("writer    PUT /v1/instances/" + victim.of().id + " status=" +
-                 std::to_string(status) + " " + beat);
+        log.line("writer    PUT /v1/instances/" + victim.of().id +
+                 " status=" + std::to_string(status) + " " + beat);
     }
     sender.join();
     sleep_s(1);
@@ -77,10 +76,10 @@
                      " run by service " + server->of().service + " on " + server->of().id);
         }
     auto const ended = fleet.ended();
-    log.line("result    sent=" + std::to_string(sent.size()) + " served=" +
-             std::to_string(served) + " run_by_wrong_service=" + std::to_string(wrong) +
-             " of_them_unsafe=" + std::to_string(wrong_unsafe) +
-             " own_requests_of_" + victim.of().id + "_later=" + std::to_string(victim_own_after) +
+    log.line("result    sent=" + std::to_string(sent.size()) + " served=" + std::to_string(served) +
+             " run_by_wrong_service=" + std::to_string(wrong) +
+             " of_them_unsafe=" + std::to_string(wrong_unsafe) + " own_requests_of_" +
+             victim.of().id + "_later=" + std::to_string(victim_own_after) +
              " processes_ended=" + std::to_string(ended.size()));
     std::printf("sent %zu, served %u, run by a service that no configuration allows: %u "
                 "(%u of them unsafe)\n",
--- a/review/stand-3/lost_seed.cpp
+++ b/review/stand-3/lost_seed.cpp
@@ -56,12 +56,11 @@
     for (auto const& server : backends)
         beats += server->acknowledged_beats();
     auto const ended = fleet.ended();
-    std::string const result = "configuration status " + std::to_string(configured) + " after " +
-                               std::to_string(configured_after) + " s, heartbeats acknowledged " +
-                               std::to_string(beats) + ", requests sent " +
-                               std::to_string(clients.sent().size()) + ", served " +
-                               std::to_string(served) + ", processes ended by themselves " +
-                               std::to_string(ended.size());
+    std::string const result =
+        "configuration status " + std::to_string(configured) + " after " +
+        std::to_string(configured_after) + " s, heartbeats acknowledged " + std::to_string(beats) +
+        ", requests sent " + std::to_string(clients.sent().size()) + ", served " +
+        std::to_string(served) + ", processes ended by themselves " + std::to_string(ended.size());
     log.line("result    " + result);
     std::printf("%s\n", result.c_str());
     if (!ended.empty())
--- a/review/stand-3/stand.hpp
+++ b/review/stand-3/stand.hpp
@@ -28,8 +28,8 @@
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <thread>
-#include <utility>
 #include <unistd.h>
+#include <utility>
 #include <vector>
 
 namespace stand
@@ -265,8 +265,7 @@
         return std::nullopt;
     std::string const head = method + " " + target + " HTTP/1.1\r\nHost: " + to.text() +
                              "\r\nContent-Type: application/json\r\nConnection: close\r\n" +
-                             fields + "Content-Length: " + std::to_string(body.size()) +
-                             "\r\n\r\n";
+                             fields + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n";
     if (!line.write(head + body, timeout_s))
         return std::nullopt;
     return read_message(line, until);
--- a/review/stand-3/traffic.hpp
+++ b/review/stand-3/traffic.hpp
@@ -69,9 +69,9 @@
     {
         for (unsigned i = 0; i < 3; ++i)
         {
-            auto const answer = call(
-                fleet_.directory(static_cast<unsigned>(random() % fleet_.controls())), "GET",
-                "/v1/resolve?name=estates.example&region=north&zone=north-a", "");
+            auto const answer =
+                call(fleet_.directory(static_cast<unsigned>(random() % fleet_.controls())), "GET",
+                     "/v1/resolve?name=estates.example&region=north&zone=north-a", "");
             std::vector<address> out;
             if (!answer || answer->status() != 200)
                 continue;
@@ -124,13 +124,14 @@
             std::lock_guard const guard(mutex_);
             sent_[id] = item;
         }
-        log_.line("sent      id=" + std::string(id) + " to=" + to.text() + " " + item.method +
-                  " " + item.target);
+        log_.line("sent      id=" + std::string(id) + " to=" + to.text() + " " + item.method + " " +
+                  item.target);
         std::string const head =
             item.method + " " + item.target + " HTTP/1.1\r\nHost: estates.example\r\n" +
-            "X-Guavashed-Request-Id: " + id + "\r\nX-Guavashed-Request-Deadline: " +
-            std::to_string(deadlines[kind]) + "\r\nCookie: X-Guavashed-Affinity-Key=" +
-            std::to_string(random() % 40) + "\r\nConnection: close\r\n" +
+            "X-Guavashed-Request-Id: " + id +
+            "\r\nX-Guavashed-Request-Deadline: " + std::to_string(deadlines[kind]) +
+            "\r\nCookie: X-Guavashed-Affinity-Key=" + std::to_string(random() % 40) +
+            "\r\nConnection: close\r\n" +
             (kind == 1 ? "Content-Length: " + std::to_string(body.size()) + "\r\n" : "") + "\r\n" +
             body;
         connection line;
