--- a/review/stand-3/stand.hpp
+++ b/review/stand-3/stand.hpp
@@ -479,6 +479,7 @@
 class backend
 {
 public:
+    static constexpr char const* health_path = "/health";
     struct settings
     {
         std::string id;
@@ -488,6 +489,8 @@
         unsigned slots = 4;
         unsigned queue = 12;
         double work_s = 0.04;
+        /// For how long it is cold after its start.
+        double cold_s = 0;
     };
     struct run
     {
@@ -495,6 +498,7 @@
         std::string id;
         std::string method;
         std::string target;
+        bool was_cold = false;
     };
 
     backend(platform const& fleet, record& log, settings of)
@@ -550,7 +554,12 @@
                settings_.service + "\",\"version\":\"v1\",\"zone\":\"" + settings_.zone +
                "\",\"concurrency_limit\":" + std::to_string(settings_.slots) +
                "},\"status\":{\"state\":\"ready\",\"sequence\":" + std::to_string(++sequence_) +
-               ",\"warmup_left_ms\":0}}";
+               ",\"warmup_left_ms\":" + std::to_string(cold_left_ms()) + "}}";
+    }
+    long long cold_left_ms() const
+    {
+        return std::max(0LL,
+                        static_cast<long long>((started_ + settings_.cold_s - now_s()) * 1000));
     }
     void beat_on()
     {
@@ -615,21 +624,29 @@
         }
         {
             std::lock_guard const guard(mutex_);
-            runs_.push_back({now_s(), id, request.method(), request.target()});
+            runs_.push_back({now_s(), id, request.method(), request.target(), cold_left_ms() > 0});
         }
         log_.line("run       id=" + id + " backend=" + settings_.id + " service=" +
                   settings_.service + " " + request.method() + " " + request.target());
         sleep_s(settings_.work_s);
         --in_work_;
         std::string const body = settings_.service + " answers " + id;
-        return "HTTP/1.1 200 OK\r\n" + echo + "X-Guavashed-Response-Signature: " + settings_.id +
-               "." + id + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+        std::string const health =
+            request.target() != health_path
+                ? std::string()
+                : "X-Guavashed-Instance-Id: " + settings_.id +
+                      "\r\nX-Guavashed-Warmup-Remaining: " + std::to_string(cold_left_ms()) +
+                      "\r\n";
+        return "HTTP/1.1 200 OK\r\n" + echo + health +
+               "X-Guavashed-Response-Signature: " + settings_.id + "." + id +
+               "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
     }
 
     platform const& fleet_;
     record& log_;
     settings settings_;
     long long born_ms_;
+    double started_ = now_s();
     int listener_ = -1;
     std::atomic<bool> stopping_{false};
     std::atomic<unsigned> in_work_{0};
--- a/review/stand-3/traffic.hpp
+++ b/review/stand-3/traffic.hpp
@@ -48,30 +48,32 @@
 class traffic
 {
 public:
-    traffic(platform const& fleet, record& log, unsigned per_s, std::uint64_t seed)
-        : fleet_(fleet), log_(log), per_s_(per_s), seed_(seed)
+    traffic(platform const& fleet, record& log, unsigned per_s, std::uint64_t seed,
+            unsigned clients = 12, unsigned zones = 1)
+        : fleet_(fleet), log_(log), per_s_(per_s), seed_(seed), clients_(clients), zones_(zones)
     {
     }
     /// Sends requests of all kinds in turn until `until`, and returns when all have ended.
     void run(double until)
     {
-        constexpr unsigned clients = 12;
         std::vector<std::thread> threads;
-        for (unsigned i = 0; i < clients; ++i)
-            threads.emplace_back([this, i, until] { client(i, clients, until); });
+        for (unsigned i = 0; i < clients_; ++i)
+            threads.emplace_back([this, i, until] { client(i, clients_, until); });
         for (auto& thread : threads)
             thread.join();
     }
     std::map<std::string, sent_request> const& sent() const { return sent_; }
 
 private:
-    std::vector<address> resolve(std::mt19937_64& random)
+    std::vector<address> resolve(std::mt19937_64& random, std::string const& zone)
     {
         for (unsigned i = 0; i < 3; ++i)
         {
             auto const answer =
                 call(fleet_.directory(static_cast<unsigned>(random() % fleet_.controls())), "GET",
-                     "/v1/resolve?name=estates.example&region=north&zone=north-a", "");
+                     "/v1/resolve?name=estates.example&region=" + zone.substr(0, zone.find('-')) +
+                         "&zone=" + zone,
+                     "");
             std::vector<address> out;
             if (!answer || answer->status() != 200)
                 continue;
@@ -96,7 +98,7 @@
             next += static_cast<double>(clients) / per_s_;
             if (now_s() > resolved + 2)
             {
-                auto found = resolve(random);
+                auto found = resolve(random, platform::zone_of(number % zones_));
                 log_.line("lookup    by client " + std::to_string(number) + ": " +
                           std::to_string(found.size()) + " entry machines");
                 if (!found.empty())
@@ -153,6 +155,9 @@
     record& log_;
     unsigned per_s_;
     std::uint64_t seed_;
+    unsigned clients_;
+    /// Zones that have clients.
+    unsigned zones_;
     std::mutex mutex_;
     std::map<std::string, sent_request> sent_;
 };
