--- a/review/stand-3/cold_after_power.cpp
+++ b/review/stand-3/cold_after_power.cpp
@@ -29,20 +29,23 @@
     return of;
 }
 
-/// Most requests that the backend began to run in one second while it was cold.
-unsigned most_in_a_second(stand::backend const& server)
+/// Most requests that were sent by their clients, and that the backend began to run, within one and
+/// the same second while it was cold.
+unsigned most_in_a_second(stand::backend const& server,
+                          std::map<std::string, stand::sent_request> const& sent)
 {
-    std::vector<double> times;
+    std::vector<std::pair<double, double>> spans;
     for (auto const& run : server.runs())
-        if (run.was_cold && run.target != stand::backend::health_path)
-            times.push_back(run.at);
-    std::sort(times.begin(), times.end());
+        if (auto const at = sent.find(run.id); run.was_cold && at != sent.end())
+            spans.emplace_back(at->second.at, run.at);
     std::size_t most = 0;
-    for (std::size_t from = 0, to = 0; to < times.size(); ++to)
+    for (auto const& first : spans)
     {
-        while (times[to] - times[from] >= 1)
-            ++from;
-        most = std::max(most, to - from + 1);
+        auto const inside =
+            std::count_if(spans.begin(), spans.end(),
+                          [&](auto const& span)
+                          { return span.first >= first.first && span.second < first.first + 1; });
+        most = std::max(most, static_cast<std::size_t>(inside));
     }
     return static_cast<unsigned>(most);
 }
@@ -129,7 +132,7 @@
     unsigned runs_while_cold = 0;
     for (backend const* server : cold)
     {
-        unsigned const here = most_in_a_second(*server);
+        unsigned const here = most_in_a_second(*server, clients.sent());
         for (auto const& run : server->runs())
             runs_while_cold += run.was_cold ? 1 : 0;
         log.line("cold      " + server->of().id + " began to run at most " + std::to_string(here) +
