--- a/test/fleet/child_processes.cpp
+++ b/test/fleet/child_processes.cpp
@@ -69,6 +69,7 @@
     constexpr int first_inherited = 3;
     posix_spawn_file_actions_addclosefrom_np(&actions, first_inherited);
     process item;
+    item.started_at = std::chrono::steady_clock::now();
     int const failure =
         ::posix_spawn(&item.id, binary.c_str(), &actions, nullptr, argv.data(), environment.data());
     posix_spawn_file_actions_destroy(&actions);
--- a/test/fleet/child_processes.hpp
+++ b/test/fleet/child_processes.hpp
@@ -2,6 +2,7 @@
 /// Defines child_processes, which manages the processes started by a test, by name.
 #pragma once
 
+#include <chrono>
 #include <map>
 #include <string>
 #include <sys/types.h>
@@ -34,6 +35,10 @@
     /// Whether the process was started and has not ended; reaps it if it has.
     bool running(std::string const& name);
     bool started(std::string const& name) const { return processes_.contains(name); }
+    std::chrono::steady_clock::time_point started_at(std::string const& name) const
+    {
+        return processes_.at(name).started_at;
+    }
     pid_t id_of(std::string const& name) const { return processes_.at(name).id; }
     /// Standard output written so far.
     std::string output(std::string const& name) const;
@@ -42,6 +47,7 @@
     struct process
     {
         pid_t id = -1;
+        std::chrono::steady_clock::time_point started_at;
         bool ended = false;
         int code = 0;
     };
--- a/test/fleet/platform_faults.hpp
+++ b/test/fleet/platform_faults.hpp
@@ -35,6 +35,9 @@
 inline constexpr unsigned seed_controls = 3;
 /// What a link held up arrives within this time after it is whole again.
 inline constexpr guavashed::milliseconds link_settle{1000};
+/// A process gets to its first instruction within this time. A signal that comes earlier ends it
+/// whatever the program does; start_test.cpp has those that come later during the start.
+inline constexpr std::chrono::milliseconds loading_time{10};
 
 /// Draws faults from a seed, and reverts them. Thread safety: none.
 class fault_source
@@ -50,6 +53,7 @@
     /// Reverts the faults that are due, then injects one more.
     void step()
     {
+        restart_ended();
         undo(false);
         using fault = void (fault_source::*)();
         static constexpr fault faults[] = {
@@ -74,7 +78,11 @@
     }
 
     /// Reverts all faults in effect.
-    void finish() { undo(true); }
+    void finish()
+    {
+        restart_ended();
+        undo(true);
+    }
     std::vector<std::string> const& violations() const { return violations_; }
     disturbances const& disturbed() const { return disturbed_; }
 
@@ -179,6 +187,30 @@
         end(fleet_.control_name(i), signal, [this, i] { fleet_.start_control(i); });
     }
 
+    /// Starts processes again that have ended of themselves, as the platform does. That is a
+    /// violation, unless a signal came before the program ran.
+    void restart_ended()
+    {
+        for (unsigned i = 0; i < fleet_.options().entries; ++i)
+            if (has_ended(fleet_.entry_name(i)))
+                fleet_.start_entry(i);
+        for (unsigned i = 0; i < controls(); ++i)
+            if (!gone_.contains(i) && has_ended(fleet_.control_name(i)))
+                fleet_.start_control(i);
+        signalled_early_.clear();
+    }
+    bool has_ended(std::string const& name)
+    {
+        child_processes& processes = fleet_.processes();
+        if (!processes.started(name) || faulted_.contains(name) || processes.running(name))
+            return false;
+        int const code = processes.await(name, 0);
+        print_action("start " + name + ", which ended with " + std::to_string(code));
+        if (code != -SIGHUP || !signalled_early_.contains(name))
+            violations_.push_back(name + " ended of itself with " + std::to_string(code));
+        return true;
+    }
+
     void kill_entry() { end_entry(SIGKILL); }
     void stop_entry() { end_entry(SIGTERM); }
     void freeze_entry() { freeze(fleet_.entry_name(random_index(fleet_.options().entries))); }
@@ -337,8 +369,14 @@
     {
         print_action("reload the settings of entry hosts");
         for (unsigned i = 0; i < fleet_.options().entries; ++i)
-            if (!faulted_.contains(fleet_.entry_name(i)))
-                fleet_.processes().signal(fleet_.entry_name(i), SIGHUP);
+        {
+            std::string const name = fleet_.entry_name(i);
+            if (faulted_.contains(name))
+                continue;
+            if (steady::now() < fleet_.processes().started_at(name) + loading_time)
+                signalled_early_.insert(name);
+            fleet_.processes().signal(name, SIGHUP);
+        }
     }
 
     platform_fleet& fleet_;
@@ -354,6 +392,8 @@
     std::set<unsigned> gone_;
     std::vector<pending_undo> pending_undos_;
     std::set<std::string> faulted_;
+    /// Processes that got a signal while they were being loaded, in the last step.
+    std::set<std::string> signalled_early_;
     std::vector<steady::time_point> disks_lost_;
     std::vector<std::string> violations_;
     disturbances disturbed_;
