Refuse announcements that a running upstream contradicts

An announcement that names another service for the same incarnation, or a service that is not configured for the id or the address of an upstream whose service is, gets 400. The check comes before the proposal, so that replicas of different versions apply alike.

--- a/src/fleet/fleet_register.cpp
+++ b/src/fleet/fleet_register.cpp
@@ -251,6 +251,25 @@
     return !colder;
 }
 
+std::optional<std::string> fleet_register::contradiction(upstream_row const& row) const
+{
+    auto const held = upstreams_.find(row.id);
+    if (held != upstreams_.end() && held->second.row.service != row.service &&
+        held->second.row.born_ms == row.born_ms)
+        return "this incarnation belongs to service " + held->second.row.service.value();
+    if (config_.find_service(row.service) != nullptr)
+        return std::nullopt;
+    for (auto const& [id, other] : upstreams_)
+    {
+        bool const is_replaced = id == row.id || other.row.address == row.address;
+        if (is_replaced && other.row.service != row.service &&
+            config_.find_service(other.row.service) != nullptr)
+            return "would replace upstream " + id.value() + " of service " +
+                   other.row.service.value() + " by one of a service that is not configured";
+    }
+    return std::nullopt;
+}
+
 std::uint32_t fleet_register::cold_left_ms(upstream_name const& id, instant now) const
 {
     auto const at = cold_until_.find(id);
--- a/src/fleet/fleet_register.hpp
+++ b/src/fleet/fleet_register.hpp
@@ -47,6 +47,9 @@
 
     /// True when applying the announcement would change nothing that entry hosts need.
     bool reflects(upstream_row const& row, std::uint32_t cold_left_ms, instant now) const;
+    /// Why the announcement contradicts what a registered upstream has announced of itself; empty
+    /// when it does not. Such an announcement must not be applied, since another program sent it.
+    std::optional<std::string> contradiction(upstream_row const& row) const;
     /// Outcome of a configuration request that was applied before; empty when it is unknown.
     std::optional<register_outcome> outcome_of(std::uint64_t request_hash) const;
 
--- a/src/fleet/registry_orders.cpp
+++ b/src/fleet/registry_orders.cpp
@@ -75,6 +75,14 @@
         ++counters_.unavailable;
         return exchange->respond(unavailable("no recent contact with a leader"));
     }
+    if (auto const problem = register_.contradiction(order.row))
+    {
+        ++counters_.refused;
+        error const reason =
+            fail(error_code::invalid_document, "read announcement", order.row.id.value(), *problem);
+        log_change(log_level::warning, "announcement_refused", to_string(reason));
+        return exchange->respond(error_response(400, reason));
+    }
     last_announced_[order.row.id] = now;
     announced_since_flush_.push_back(order.row.id);
     if (register_.reflects(order.row, order.cold_left_ms, now))
--- a/test/correctness/fleet/broken_answer_test.cpp
+++ b/test/correctness/fleet/broken_answer_test.cpp
@@ -36,8 +36,8 @@
     REQUIRE(fleet.request_control(
                 0, "PUT", "/v1/instances/broken",
                 "{\"address\":\"" + upstream.endpoint().value() +
-                    "\",\"born\":1,\"info\":{\"service\":\"roster\",\"zone\":\"north-a\","
-                    "\"concurrency_limit\":4},\"status\":{\"state\":\"ready\",\"sequence\":1}}") ==
+                    "\",\"born\":1,\"info\":{\"service\":\"roster\",\"version\":\"v1\",\"zone\":\"north-a\","
+                    "\"concurrency_limit\":4},\"status\":{\"state\":\"ready\",\"sequence\":1,\"warmup_left_ms\":0}}") ==
             200);
     std::this_thread::sleep_for(milliseconds(700));
     auto const entry = guavashed::parse_endpoint(fleet.entry_endpoint(0)).value();
--- a/test/correctness/fleet/control_test.cpp
+++ b/test/correctness/fleet/control_test.cpp
@@ -168,8 +168,9 @@
     auto const controls = fleet.options().controls;
     std::string const deep(200'000, '[');
     std::string const row = "{\"address\":\"127.0.3.9:24220\",\"born\":1,\"info\":{\"service\":"
-                            "\"roster\",\"zone\":\"north-a\",\"concurrency_limit\":4},"
-                            "\"status\":{\"state\":\"ready\",\"sequence\":1}}";
+                            "\"roster\",\"version\":\"v1\",\"zone\":\"north-a\","
+                            "\"concurrency_limit\":4},\"status\":{\"state\":\"ready\","
+                            "\"sequence\":1,\"warmup_left_ms\":0}}";
     auto const with = [&row](std::string const& what, std::string const& value)
     {
         std::string out = row;
--- a/test/correctness/registry/fleet_register_test.cpp
+++ b/test/correctness/registry/fleet_register_test.cpp
@@ -137,6 +137,55 @@
     }
 }
 
+// Programs other than the upstream may announce its id or its address by mistake. What the running
+// upstream announced must stay in force, or it gets the requests of another service.
+TEST_CASE("an announcement that contradicts a running upstream is recognised")
+{
+    driven_register held;
+    routing_config config = roster_config(1);
+    config.services.push_back({service_name("crew"), "/health", 100, 3.0, 6.0});
+    register_command first = configure(0, 1, 11);
+    first.config = config;
+    REQUIRE(held.apply(first) == register_outcome::accepted);
+    REQUIRE(held.apply(announce(roster_upstream("u1"), 4)) == register_outcome::accepted);
+    upstream_row other = roster_upstream("u1");
+    other.service = service_name("crew");
+
+    SECTION("its own announcements don't")
+    {
+        upstream_row draining = roster_upstream("u1");
+        draining.draining = true;
+        draining.slots = 9;
+        CHECK_FALSE(held.state.contradiction(draining));
+        CHECK_FALSE(held.state.contradiction(with_start(roster_upstream("u1"), 5000)));
+    }
+    SECTION("another service of the same incarnation does")
+    {
+        CHECK(held.state.contradiction(other));
+    }
+    SECTION("a later incarnation may belong to another service of the configuration")
+    {
+        CHECK_FALSE(held.state.contradiction(with_start(other, 5000)));
+    }
+    SECTION("a service that the configuration doesn't have replaces no upstream of one that it has")
+    {
+        other.service = service_name("unknown");
+        CHECK(held.state.contradiction(with_start(other, 5000)));
+        other.id = upstream_name("u2");
+        CHECK(held.state.contradiction(with_start(other, 5000)));
+        other.address = endpoint_text("127.0.0.1:10");
+        CHECK_FALSE(held.state.contradiction(with_start(other, 5000)));
+    }
+    SECTION("an upstream whose service left the configuration is announced as before")
+    {
+        register_command second = configure(1, 2, 12);
+        second.config.services.clear();
+        REQUIRE(held.apply(second) == register_outcome::accepted);
+        CHECK_FALSE(held.state.contradiction(roster_upstream("u1")));
+        CHECK_FALSE(held.state.contradiction(with_start(roster_upstream("u1"), 5000)));
+    }
+}
+
 // Upstreams become cold while their failure domain is evacuated. Sending them full load right after
 // the restore, before they announce it, would overload them.
 TEST_CASE("upstreams of a restored failure domain count as cold")
