Let a majority of the seeds found the control group

Change: the seeds vote (founding_vote, single-decree Paxos whose messages are the seeds' states). A seed's state is on its disk before it is sent, and a seed that restarts during the first start goes on with the vote. If a seed is missing, the others found the group after 2 s.

--- a/src/fleet/registry_group.cpp
+++ b/src/fleet/registry_group.cpp
@@ -1,9 +1,11 @@
 // Discovery among control hosts, founding of the group, and its membership changes.
 #include "base/codec.hpp"
 #include "base/log.hpp"
+#include "control/record_file.hpp"
 #include "fleet/registry_node.hpp"
 
 #include <algorithm>
+#include <set>
 
 namespace guavashed
 {
@@ -13,6 +15,11 @@
 constexpr milliseconds greeting_interval{300};
 /// Time for control hosts that start with the seeds to appear before the group is founded.
 constexpr milliseconds founding_wait{600};
+/// Time for all seeds to appear. The group is then founded without the others, which may be lost,
+/// if a majority is there.
+constexpr milliseconds missing_seed_wait{2000};
+/// Several round trips between regions, and writes to a slow disk.
+constexpr milliseconds founding_retry{1500};
 constexpr std::size_t max_founders = 5;
 /// Hosts that greeted within this time are passed on in greetings.
 constexpr milliseconds present_for{1500};
@@ -39,7 +46,7 @@
     std::string const bytes = encode(out);
     for (auto& [host, link] : links_)
         link->send(frame_type::greeting, bytes);
-    found_group_if_due();
+    drive_founding(now);
 }
 
 void registry_node::on_greeting(control_greeting message)
@@ -72,42 +79,140 @@
                "members=" + std::to_string(decoded.value().membership.members.size()));
     raft_->found(std::move(decoded).value());
     replica_->drive();
+    // The others wait for it.
+    next_greeting_ = instant();
 }
 
-void registry_node::found_group_if_due()
+result<void> registry_node::open_founding_vote()
 {
-    if (!settings_.founding || raft_->last_index().value() != 0)
-        return;
-    instant const now = instant::clock::now();
-    for (auto const& seed : settings_.seeds)
+    BOOST_OUTCOME_TRY(auto const bytes, read_checked_file(founding_path()));
+    founding_record record;
+    if (!bytes.empty())
     {
-        host_name const host(seed.value());
-        if (host == self_)
-            continue;
-        auto const known = known_controls_.find(host);
-        // The seed with the lowest name founds the group, once all seeds have reported an empty
-        // log: a seed with a log is a member of a group that exists already.
-        if (host < self_ || known == known_controls_.end() || !known->second.greeting.blank)
-            return;
+        BOOST_OUTCOME_TRY(record, decode<founding_record>(bytes, founding_path()));
+    }
+    else
+    {
+        std::set<host_name> seeds;
+        for (auto const& seed : settings_.seeds)
+            seeds.emplace(seed.value());
+        if (!settings_.founding || !seeds.contains(self_))
+            return boost::outcome_v2::success();
+        record.seeds.assign(seeds.begin(), seeds.end());
+        // Without it, a seed that restarts could not tell its disk from a new one, which may have
+        // lost a vote.
+        BOOST_OUTCOME_TRY(replace_file(founding_path(), encode(record)));
     }
-    bool const is_seed =
-        std::any_of(settings_.seeds.begin(), settings_.seeds.end(),
-                    [this](endpoint_text const& seed) { return seed.value() == self_.value(); });
-    if (!is_seed)
+    founding_vote_.emplace(self_, std::move(record.seeds), std::move(record.state));
+    return boost::outcome_v2::success();
+}
+
+std::string registry_node::founding_path() const
+{
+    return settings_.data_folder + "/founding";
+}
+
+void registry_node::on_founding_vote(founding_message const& message)
+{
+    if (!founding_vote_ || raft_->last_index().value() != 0)
+        return;
+    if (founding_vote_->observe(message.host, message.state))
+        publish_founding_vote();
+    else if (auto const chosen = founding_vote_->chosen())
+        found_group(*chosen);
+}
+
+void registry_node::drive_founding(instant now)
+{
+    if (!founding_vote_ || raft_->last_index().value() != 0 || hears_group(now))
         return;
+    if (!may_propose_founding(now))
+        return send_founding_vote();
+    next_founding_ = now + founding_retry;
+    raft_snapshot const proposal = founding_proposal(now);
+    log_change(log_level::info, "founding_proposed",
+               "members=" + std::to_string(proposal.membership.members.size()));
+    founding_vote_->propose(encode(proposal));
+    publish_founding_vote();
+}
+
+bool registry_node::hears_group(instant now) const
+{
+    return std::any_of(known_controls_.begin(), known_controls_.end(),
+                       [&](auto const& item) {
+                           return item.second.received_at + present_for > now &&
+                                  !item.second.greeting.blank;
+                       });
+}
+
+bool registry_node::may_propose_founding(instant now)
+{
+    std::size_t present = 0;
+    bool is_first = true;
+    for (auto const& seed : founding_vote_->seeds())
+    {
+        auto const known = known_controls_.find(seed);
+        bool const is_present = seed == self_ || (known != known_controls_.end() &&
+                                                  known->second.received_at + present_for > now);
+        present += is_present ? 1 : 0;
+        is_first = is_first && (!is_present || self_ <= seed);
+    }
+    if (present < founding_vote_->majority())
+        return false;
     if (founding_wait_since_ == instant())
         founding_wait_since_ = now;
-    if (now < founding_wait_since_ + founding_wait && known_controls_.size() + 1 < max_founders)
-        return;
-    raft_snapshot snapshot;
-    snapshot.index = log_index(1);
-    snapshot.term = log_term(1);
-    snapshot.membership.members.push_back({self_, disk_, true});
+    bool const is_complete = present == founding_vote_->seeds().size();
+    bool const has_founders = known_controls_.size() + 1 >= max_founders;
+    milliseconds const wait = !is_complete   ? missing_seed_wait
+                              : has_founders ? milliseconds(0)
+                                             : founding_wait;
+    return is_first && now >= founding_wait_since_ + wait && now >= next_founding_ &&
+           !founding_vote_->chosen();
+}
+
+raft_snapshot registry_node::founding_proposal(instant now) const
+{
+    raft_snapshot out;
+    out.index = log_index(1);
+    out.term = log_term(1);
+    out.membership.members.push_back({self_, disk_, true});
+    auto const add = [&](host_name const& host)
+    {
+        auto const known = known_controls_.find(host);
+        bool const is_there =
+            known != known_controls_.end() && known->second.received_at + present_for > now;
+        if (is_there && known->second.greeting.blank && out.membership.find(host) == nullptr &&
+            out.membership.members.size() < max_founders)
+            out.membership.members.push_back({host, known->second.greeting.disk, true});
+    };
+    for (auto const& seed : founding_vote_->seeds())
+        add(seed);
     for (auto const& [host, control] : known_controls_)
-        if (control.greeting.blank && snapshot.membership.members.size() < max_founders)
-            snapshot.membership.members.push_back({host, control.greeting.disk, true});
-    snapshot.state = register_.save();
-    found_group(encode(snapshot));
+        add(host);
+    out.state = register_.save();
+    return out;
+}
+
+void registry_node::publish_founding_vote()
+{
+    founding_record const record{founding_vote_->seeds(), founding_vote_->state()};
+    // On the event loop: this host has nothing else to do before the group is founded.
+    if (auto const written = replace_file(founding_path(), encode(record)); !written)
+    {
+        log_change(log_level::error, "founding_not_written", to_string(written.error()));
+        return on_failure_();
+    }
+    send_founding_vote();
+    if (auto const chosen = founding_vote_->chosen())
+        found_group(*chosen);
+}
+
+void registry_node::send_founding_vote()
+{
+    std::string const bytes = encode(founding_message{self_, founding_vote_->state()});
+    for (auto const& seed : founding_vote_->seeds())
+        if (auto const link = links_.find(seed); link != links_.end())
+            link->second->send(frame_type::founding_vote, bytes);
 }
 
 void registry_node::propose_membership_step(instant now)
--- a/src/fleet/registry_node.cpp
+++ b/src/fleet/registry_node.cpp
@@ -52,6 +52,7 @@
     note_changes(instant::clock::now());
     if (snapshot.index == log_index(1))
         founding_snapshot_ = encode(snapshot);
+    BOOST_OUTCOME_TRY(open_founding_vote());
 
     storage_ = std::make_unique<storage_worker>(
         event_loop_, std::move(opened.store), record_file(), "",
@@ -247,6 +248,10 @@
         if (auto message = decode<control_greeting>(item.payload, session->peer()))
             return on_greeting(std::move(message).value());
         break;
+    case frame_type::founding_vote:
+        if (auto message = decode<founding_message>(item.payload, session->peer()))
+            return on_founding_vote(message.value());
+        break;
     case frame_type::proposal:
         if (raft_->propose(std::move(item.payload)))
             replica_->drive();
--- a/src/fleet/registry_node.hpp
+++ b/src/fleet/registry_node.hpp
@@ -9,6 +9,7 @@
 #include "control/replica_driver.hpp"
 #include "fleet/control_directory.hpp"
 #include "fleet/fleet_register.hpp"
+#include "fleet/founding_vote.hpp"
 #include "fleet/membership_planner.hpp"
 #include "fleet/registry_protocol.hpp"
 #include "fleet/view_feed.hpp"
@@ -36,7 +37,7 @@
     std::string data_folder;
     /// Peer endpoints of some control hosts; the others are learned from these.
     std::vector<endpoint_text> seeds;
-    /// First start of the system: control hosts with empty disks may found the group.
+    /// First start of the system: the seeds found the group, and go on with that if they restart.
     bool founding = false;
     /// Interval of upstreams' announcements.
     milliseconds announce_interval{1500};
@@ -147,7 +148,20 @@
 
     void send_greetings(instant now);
     void on_greeting(control_greeting message);
-    void found_group_if_due();
+    /// Reads this seed's part in the vote on the founding, or begins it.
+    result<void> open_founding_vote();
+    std::string founding_path() const;
+    void on_founding_vote(founding_message const& message);
+    /// Sends this seed's part in the vote again, and begins an attempt when it is due.
+    void drive_founding(instant now);
+    /// A control host with a log was heard lately, so that there is a group.
+    bool hears_group(instant now) const;
+    /// Precondition: this host is a seed that votes.
+    bool may_propose_founding(instant now);
+    /// Writes the changed vote to the disk, sends it, and founds the group once it is decided.
+    void publish_founding_vote();
+    void send_founding_vote();
+    raft_snapshot founding_proposal(instant now) const;
     void found_group(std::string const& snapshot);
     void propose_membership_step(instant now);
 
@@ -220,6 +234,8 @@
     disk_id disk_;
     /// Encoded; empty before the founding, and after a restart from a later snapshot.
     std::string founding_snapshot_;
+    /// Only on seeds that took part in the first start of the system.
+    std::optional<founding_vote> founding_vote_;
     std::map<host_name, std::unique_ptr<frame_client>> links_;
     std::map<host_name, known_control> known_controls_;
     std::map<frame_session*, entry_session> entry_sessions_;
@@ -245,7 +261,9 @@
     instant next_greeting_;
     instant next_flush_;
     instant next_watch_;
+    /// Since when enough seeds are there to found the group.
     instant founding_wait_since_;
+    instant next_founding_;
     registry_counters counters_;
 };
 
--- a/src/transport/frame_link.hpp
+++ b/src/transport/frame_link.hpp
@@ -42,7 +42,8 @@
     fleet_changes = 21,
     lease_request = 22,
     lease_grant = 23,
-    control_status = 24
+    control_status = 24,
+    founding_vote = 25
 };
 
 struct frame
