Name all connected entry hosts in the first list that a host gets

After a power loss all lists were empty, so that each host counted itself among the four that may send to a cold upstream; the next list came after 2 s.

Change: the list names all hosts in session. One that has grown by half is sent at once. A control host that has just started sends none for 3 s to hosts that have one of before.

--- a/src/fleet/registry_entries.cpp
+++ b/src/fleet/registry_entries.cpp
@@ -28,14 +28,16 @@
     entry.report = std::move(message);
     entry.position.view_index = entry.report.view_index;
     entry.position.is_source = entry.report.is_source;
-    if (first || ready_before != entry.report.ready)
+    if (first)
     {
-        feed_.note_entries();
+        entry.position.began_empty = entry.report.view_index == 0;
+        feed_.note_entries(entry_sessions_.size());
+    }
+    if (first || ready_before != entry.report.ready)
         log_change(log_level::info, "entry_host",
                    "host=" + entry.report.host.value() +
                        " ready=" + (entry.report.ready ? "1" : "0") +
                        " view=" + std::to_string(entry.report.view_index));
-    }
     send_status(entry);
     push_to(now, entry);
 }
@@ -138,8 +140,7 @@
         return out;
     std::set<std::uint64_t> entries;
     for (auto const& [session, entry] : entry_sessions_)
-        if (entry.report.ready)
-            entries.insert(entry_hash(entry.report.host));
+        entries.insert(entry_hash(entry.report.host));
     out.entries.assign(entries.begin(), entries.end());
     return out;
 }
--- a/src/fleet/registry_node.cpp
+++ b/src/fleet/registry_node.cpp
@@ -50,6 +50,7 @@
     raft_snapshot const& snapshot = opened.restored.snapshot;
     BOOST_OUTCOME_TRY(register_.load(snapshot.state));
     note_changes(instant::clock::now());
+    feed_.start(instant::clock::now());
     if (snapshot.index == log_index(1))
         founding_snapshot_ = encode(snapshot);
     BOOST_OUTCOME_TRY(open_founding_vote());
@@ -229,7 +230,7 @@
 {
     log_change(log_level::warning, "session_lost", "peer=" + session->peer());
     if (entry_sessions_.erase(session.get()) > 0)
-        feed_.note_entries();
+        feed_.note_entries(entry_sessions_.size());
 }
 
 void registry_node::on_frame(frame_session_ptr const& session, frame&& item)
--- a/src/fleet/view_feed.cpp
+++ b/src/fleet/view_feed.cpp
@@ -18,9 +18,14 @@
 /// Shortest time between pushes to an entry host; batches changes, of which several may occur each
 /// second.
 constexpr milliseconds push_interval{200};
-/// Shortest time between lists of entry hosts sent to one of them. Many entry hosts join at once
-/// after a power loss, and the rate at which they warm up upstreams tolerates an older list.
+/// Shortest time between lists of entry hosts sent to one of them, unless the list has grown.
 constexpr milliseconds entries_interval{2000};
+/// Growth of the list at which it is sent without that wait. The number of hosts that take
+/// themselves for one of the few that may warm up an upstream increases with the logarithm of this.
+constexpr double max_growth = 1.5;
+/// Time in which running entry hosts connect again to a control host that has restarted. Until then
+/// the list that they have is better than one of those that are connected.
+constexpr milliseconds reconnect_time{3000};
 /// A push that the entry host has not confirmed within this time is sent again.
 constexpr milliseconds resend_after{1000};
 /// Longer than all delays above; older changes count as this old.
@@ -28,6 +33,21 @@
 
 } // namespace
 
+void view_feed::start(instant now)
+{
+    connected_by_ = now + reconnect_time;
+}
+
+bool view_feed::is_list_due(instant now, feed_position const& position) const
+{
+    if (position.sent_entries == entries_epoch_)
+        return false;
+    if (!position.began_empty && now < connected_by_)
+        return false;
+    auto const sent = static_cast<double>(position.sent_hosts);
+    return now >= position.entries_due || static_cast<double>(hosts_) >= sent * max_growth;
+}
+
 void view_feed::note_change(std::uint64_t index, instant now)
 {
     GUAVASHED_INVARIANT(index >= newest_)
@@ -55,9 +75,7 @@
         return {};
     // The leader's list of entry hosts counts for the whole fleet, since hosts that divide a
     // budget must agree on their number; a host with an empty view has no list yet.
-    bool const with_entries = (leads || position.view_index == 0) &&
-                              position.sent_entries != entries_epoch_ &&
-                              now >= position.entries_due;
+    bool const with_entries = (leads || position.view_index == 0) && is_list_due(now, position);
     if (position.view_index == 0)
         return {position.is_source && now >= position.resend_due, with_entries};
     if (position.view_index >= newest_)
@@ -79,6 +97,7 @@
     if (!decision.with_entries)
         return;
     position.sent_entries = entries_epoch_;
+    position.sent_hosts = hosts_;
     position.entries_due = now + entries_interval;
 }
 
--- a/src/fleet/view_feed.hpp
+++ b/src/fleet/view_feed.hpp
@@ -29,6 +29,10 @@
     /// Log index, and epoch of the list of entry hosts, as last sent by this control host.
     std::uint64_t sent_to = 0;
     std::uint64_t sent_entries = 0;
+    /// Length of the list of entry hosts that was sent last.
+    std::size_t sent_hosts = 0;
+    /// It had no view when it connected, and so no list of entry hosts.
+    bool began_empty = false;
     instant push_due;
     instant entries_due;
     instant resend_due;
@@ -49,8 +53,14 @@
 public:
     /// Records that the newest change has log index `index`. Precondition: it never decreases.
     void note_change(std::uint64_t index, instant now);
-    /// Records that an entry host connected, disconnected, or changed its readiness.
-    void note_entries() { ++entries_epoch_; }
+    /// Records that this control host started, so that entry hosts may still have to connect.
+    void start(instant now);
+    /// Records that an entry host connected or disconnected, and how many are connected now.
+    void note_entries(std::size_t hosts)
+    {
+        ++entries_epoch_;
+        hosts_ = hosts;
+    }
 
     /// Log index of the newest change; at least 1, so that an empty view, at 0, is behind.
     std::uint64_t newest() const { return newest_; }
@@ -68,9 +78,13 @@
     };
     /// When the oldest change after `index` was recorded; `instant()` when there is none.
     instant behind_since(std::uint64_t index) const;
+    bool is_list_due(instant now, feed_position const& position) const;
 
     std::uint64_t newest_ = 1;
     std::uint64_t entries_epoch_ = 1;
+    std::size_t hosts_ = 0;
+    /// When the entry hosts that had a view before the start have connected.
+    instant connected_by_;
     /// Recent changes, oldest first.
     std::deque<change> changes_;
 };
--- a/src/fleet/view_messages.hpp
+++ b/src/fleet/view_messages.hpp
@@ -68,8 +68,9 @@
     std::optional<routing_config> config;
     std::vector<upstream_change> upstreams;
     std::vector<failure_domain_name> evacuated;
-    /// Hashes of the names of ready entry hosts in session with the sender; empty when the list is
-    /// not sent.
+    /// Hashes of the names of the entry hosts in session with the sender, also of those that have
+    /// no view yet: they divide budgets with the others as soon as they have one. Empty when the
+    /// list is not sent.
     std::vector<std::uint64_t> entries;
     /// Endpoints of control hosts from those of earlier versions; `control_status` tells them now.
     std::vector<endpoint_text> controls;
--- a/src/routing/upstream_selector.cpp
+++ b/src/routing/upstream_selector.cpp
@@ -15,6 +15,9 @@
 constexpr std::size_t max_warmup_hosts = 4;
 /// Factor by which the rate to a cold upstream stays below what it can serve.
 constexpr double warmup_margin = 1.2;
+/// Time from a host's first view to its first request to a cold upstream. Where many hosts start
+/// together, the first view names only those that have connected before.
+constexpr milliseconds list_wait{500};
 /// Initial estimates of the service time, as fractions of the latency objective.
 constexpr double initial_home_fraction = 0.4;
 constexpr double initial_other_fraction = 0.9;
@@ -89,6 +92,8 @@
         state.region = region == settings_.regions.end() ? region_name() : region->second;
         state.cold_until = std::max(state.cold_until, now + milliseconds(change.cold_left_ms));
     }
+    if (changes.whole)
+        warms_from_ = now + list_wait;
     if (changes.whole)
         std::erase_if(upstreams_,
                       [&](auto const& item)
@@ -132,6 +137,11 @@
     return ahead < max_warmup_hosts;
 }
 
+instant upstream_selector::cold_send_from(upstream_state const& state) const
+{
+    return std::max(state.next_cold_send, warms_from_);
+}
+
 double upstream_selector::warmup_spacing_ms(upstream_state const& state) const
 {
     auto const service = services_.find(state.row.service);
@@ -154,7 +164,7 @@
     if (!ejected_too && now < state.ejected_until)
         return false;
     if (now < state.cold_until)
-        return may_send_while_cold(state) && now >= state.next_cold_send;
+        return now >= cold_send_from(state) && may_send_while_cold(state);
     return true;
 }
 
@@ -229,7 +239,7 @@
                             (is_cold && !may_send_while_cold(*state));
         if (is_out || (!is_cold && !is_pausing))
             continue;
-        instant const next_cold_send = is_cold ? state->next_cold_send : instant();
+        instant const next_cold_send = is_cold ? cold_send_from(*state) : instant();
         earliest = std::min(earliest, std::max(state->stated.paused_until, next_cold_send));
     }
     return earliest == instant::max() ? 0 : remaining_ms(earliest, now);
--- a/src/routing/upstream_selector.hpp
+++ b/src/routing/upstream_selector.hpp
@@ -215,6 +215,8 @@
                 bool ejected_too) const;
     /// Whether this host is one of those that may send to the upstream while it is cold.
     bool may_send_while_cold(upstream_state const& state) const;
+    /// Earliest time of the next request of this host to the upstream while it is cold.
+    instant cold_send_from(upstream_state const& state) const;
     /// Least time between two requests of this host to a cold upstream.
     double warmup_spacing_ms(upstream_state const& state) const;
     /// Eligible upstreams; ejected ones only if there are no others.
@@ -268,6 +270,8 @@
     /// Regions of the deployment.
     std::set<region_name> regions_;
     std::mt19937_64 random_;
+    /// Before this, the list of entry hosts may lack many that start at the same time.
+    instant warms_from_;
     std::map<upstream_name, upstream_state> upstreams_;
     /// Pointers into `upstreams_`, by service.
     std::unordered_map<service_name, std::vector<upstream_state*>> by_service_;
--- a/test/correctness/fleet/founding_test.cpp
+++ b/test/correctness/fleet/founding_test.cpp
@@ -28,6 +28,24 @@
     std::this_thread::sleep_for(std::chrono::milliseconds(ms));
 }
 
+/// Entry hosts that the host's first view named, after the part of the log that ends at `from`;
+/// empty if it logs no view within 2 s.
+std::optional<std::size_t> hosts_in_first_view(platform_fleet const& fleet, unsigned entry,
+                                               std::size_t from)
+{
+    for (int step = 0; step < 40; ++step)
+    {
+        std::string const log = fleet.log_of(fleet.entry_name(entry)).substr(from);
+        std::string const line = log.substr(std::min(log.size(), log.find("event=view ")));
+        constexpr std::string_view key = " entries=";
+        auto const at = line.find(key);
+        if (at != std::string::npos && line.find('\n') != std::string::npos)
+            return std::stoul(line.substr(at + key.size()));
+        pause_ms(50);
+    }
+    return std::nullopt;
+}
+
 } // namespace
 
 SCENARIO("the control group is founded although one of its seeds is lost")
@@ -77,3 +95,30 @@
         }
     }
 }
+
+SCENARIO("entry hosts that start together know of each other from their first view")
+{
+    platform_fleet_options options = options_of("together", 25800);
+    options.controls = seed_count;
+    options.entries = 6;
+    platform_fleet fleet(options);
+    REQUIRE(fleet.start());
+    std::vector<std::size_t> log_sizes;
+    for (unsigned i = 0; i < options.entries; ++i)
+    {
+        fleet.processes().signal(fleet.entry_name(i), SIGKILL);
+        fleet.processes().await(fleet.entry_name(i), 5);
+        log_sizes.push_back(fleet.log_of(fleet.entry_name(i)).size());
+    }
+    for (unsigned i = 0; i < options.entries; ++i)
+        fleet.start_entry(i);
+    REQUIRE(fleet.wait_ready(10));
+    for (unsigned i = 0; i < options.entries; ++i)
+    {
+        INFO(fleet.entry_name(i));
+        // Each is connected, and so counts, before any of them is ready.
+        auto const named = hosts_in_first_view(fleet, i, log_sizes[i]);
+        REQUIRE(named);
+        CHECK(*named >= 1);
+    }
+}
