Download files with slow readers in the soak

Cause: the soak knew keys, revocations and limits, but no downloads and no slow readers.

Change: upstreams serve files of 3 MB on a route for downloads; four readers take 16 kB at a time over sockets with small receive buffers (--slow-readers), beside all faults. A whole answer must be the file of its request with its signature, and no entry host may take more than 256 MB.

--- a/standin/platform_upstream.cpp
+++ b/standin/platform_upstream.cpp
@@ -39,6 +39,16 @@
 
 } // namespace
 
+std::string file_of(std::string const& request_id, std::size_t bytes)
+{
+    std::string out;
+    out.reserve(bytes + request_id.size() + 20);
+    for (std::size_t line = 0; out.size() < bytes; ++line)
+        out += request_id + " line " + std::to_string(line) + "\n";
+    out.resize(bytes);
+    return out;
+}
+
 platform_upstream::platform_upstream(platform_upstream_settings settings)
     : settings_(std::move(settings)), start_wall_ms_(wall_ms(std::chrono::system_clock::now())),
       started_(instant::clock::now()), random_(settings_.seed)
@@ -206,6 +216,7 @@
         return;
     auto item = std::make_shared<work>();
     item->id = id;
+    item->is_file = request.target.starts_with(file_prefix);
     item->deadline = instant::clock::now() + time_left(request);
     item->exchange = std::move(exchange);
     bool const full = (running_ >= settings_.slots && waiting_.size() >= settings_.queue) ||
@@ -279,11 +290,12 @@
     if (item->abandoned || lost)
         return;
     pending_.erase(item);
-    item->exchange->respond(with_statements({200,
-                                             {{"X-Guavashed-Request-Id", item->id},
-                                              {"X-Guavashed-Response-Signature", "s-" + item->id},
-                                              {"X-Guavashed-Server-Load", load()}},
-                                             "answer to " + item->id}));
+    item->exchange->respond(with_statements(
+        {200,
+         {{"X-Guavashed-Request-Id", item->id},
+          {"X-Guavashed-Response-Signature", "s-" + item->id},
+          {"X-Guavashed-Server-Load", load()}},
+         item->is_file ? file_of(item->id, settings_.file_bytes) : "answer to " + item->id}));
 }
 
 } // namespace standin
--- a/standin/platform_upstream.hpp
+++ b/standin/platform_upstream.hpp
@@ -21,6 +21,11 @@
 namespace standin
 {
 
+/// Paths below this are answered with files.
+inline constexpr char const* file_prefix = "/files/";
+/// The file that an upstream answers a request with. Thread safe.
+std::string file_of(std::string const& request_id, std::size_t bytes);
+
 struct platform_upstream_settings
 {
     std::string id;
@@ -37,6 +42,7 @@
     unsigned work_ms = 40;
     unsigned announce_interval_ms = 300;
     unsigned warmup_ms = 0;
+    std::size_t file_bytes = 0;
     /// Fraction of requests that are executed but never answered.
     double unanswered_share = 0;
     /// Fraction of requests that are rejected without being executed, regardless of load.
@@ -102,6 +108,7 @@
         std::string id;
         /// Index of its arrival in the record.
         std::size_t arrival = 0;
+        bool is_file = false;
         guavashed::instant deadline;
         std::shared_ptr<guavashed::http_exchange> exchange;
         std::unique_ptr<boost::asio::steady_timer> timer;
--- a/test/fleet/platform_document.cpp
+++ b/test/fleet/platform_document.cpp
@@ -24,13 +24,22 @@
         std::string const name = "unused-" + std::to_string(i);
         unused += ",\"" + name + "\":" + route(("/" + name + "/").c_str(), "safe");
     }
+    std::string const is_public = options_.tenants.empty() ? "" : "\"public\":true,";
+    std::string const files =
+        options_.file_bytes == 0
+            ? ""
+            : ",\"files\":{" + is_public + "\"host\":\"roster.example\",\"path_prefix\":\"" +
+                  standin::file_prefix +
+                  "\",\"route_type\":\"download\",\"target_latency_ms\":400,"
+                  "\"max_attempts\":2,\"priority\":0,\"session_affinity\":false,"
+                  "\"service\":\"roster\"}";
     // Without workspaces the field says nothing.
     std::string const open_route =
         options_.tenants.empty()
             ? ""
             : ",\"open\":" + route("/open/", "safe").insert(1, "\"public\":true,");
     return start + "\"routes\":{\"check\":" + route("/check/", "safe") +
-           ",\"confirm\":" + route("/confirm/", "unsafe") + open_route + unused +
+           ",\"confirm\":" + route("/confirm/", "unsafe") + open_route + files + unused +
            "},\"services\":{\"roster\":{\"health_path\":\"/health\",\"max_connections\":300,"
            "\"warmup_s\":2.0,\"warmup_per_s\":6}}," +
            (options_.tenants.empty() ? "" : "\"tenants\":" + options_.tenants + ",") +
--- a/test/fleet/platform_fleet.cpp
+++ b/test/fleet/platform_fleet.cpp
@@ -169,6 +169,7 @@
     settings.work_ms = options_.work_ms;
     settings.slots = options_.slots;
     settings.warmup_ms = warmup_ms;
+    settings.file_bytes = options_.file_bytes;
     settings.unanswered_share = options_.unanswered_share;
     settings.shed_share = options_.shed_share;
     settings.pause_share = i < options_.pausing_upstreams ? options_.pause_share : 0;
--- a/test/fleet/platform_fleet.hpp
+++ b/test/fleet/platform_fleet.hpp
@@ -55,6 +55,8 @@
     std::string extra_bounds;
     /// Longest body of a request that entry hosts accept.
     std::size_t max_body_bytes = 1024 * 1024;
+    /// Length of the files that upstreams serve on a route for downloads; no such route with 0.
+    std::size_t file_bytes = 0;
     /// Routes without requests, which make each configuration longer.
     unsigned unused_routes = 0;
     std::uint64_t seed = 1;
--- a/test/fleet/platform_soak.cpp
+++ b/test/fleet/platform_soak.cpp
@@ -7,6 +7,7 @@
 #include "arguments.hpp"
 #include "platform_faults.hpp"
 #include "platform_invariants.hpp"
+#include "slow_downloads.hpp"
 
 #include <iostream>
 #include <thread>
@@ -18,6 +19,32 @@
 /// Within which an acknowledged configuration is in force.
 constexpr std::chrono::milliseconds config_apply{2500};
 constexpr double calls_per_s = 120;
+/// Some seconds for a slow reader, and longer than the buffers of the sockets in between.
+constexpr std::size_t file_bytes = 3 * 1024 * 1024;
+/// Memory of a host of the platform.
+constexpr std::size_t memory_mb = 256;
+
+/// Most resident memory that the process has had, in megabytes; 0 when it isn't running.
+std::size_t peak_memory_mb(pid_t process)
+{
+    std::string const status = read_file("/proc/" + std::to_string(process) + "/status");
+    std::string const key = "VmHWM:";
+    auto const at = status.find(key);
+    return at == std::string::npos ? 0 : std::stoul(status.substr(at + key.size())) / 1024;
+}
+
+/// Sums up the downloads, and returns the highest peak of the entry hosts' memory.
+std::size_t report_downloads(platform_fleet& fleet, slow_downloads const& downloads)
+{
+    std::size_t peak = 0;
+    for (unsigned i = 0; i < fleet.options().entries; ++i)
+        peak = std::max(peak, peak_memory_mb(fleet.processes().id_of(fleet.entry_name(i))));
+    auto const whole = std::count_if(downloads.calls().begin(), downloads.calls().end(),
+                                     [](auto const& item) { return item.second.status == 200; });
+    std::cout << "downloads " << downloads.calls().size() << ", whole " << whole
+              << ", an entry host's memory at its peak " << peak << " MB\n";
+    return peak;
+}
 
 int run(standin::arguments const& given)
 {
@@ -33,6 +60,8 @@
     options.pausing_upstreams = 2;
     options.pause_share = 0.01;
     options.relays = true;
+    auto const readers = static_cast<unsigned>(given.number("slow-readers", 4));
+    options.file_bytes = readers == 0 ? 0 : file_bytes;
     double const duration_s = given.number("duration-s", 30);
     workspace_keys keys(options.seed);
     options.tenants = keys.table();
@@ -47,6 +76,12 @@
     standin::platform_caller caller(fleet.caller_settings(calls_per_s, options.seed));
     caller.set_keys(keys.offered());
     caller.start();
+    slow_download_settings reading{"roster.example", standin::file_prefix, {}, file_bytes,
+                                   readers,          options.seed};
+    for (unsigned i = 0; i < options.entries; ++i)
+        reading.entries.push_back(fleet.entry_endpoint(i));
+    slow_downloads downloads(reading);
+    downloads.start();
     fault_source faults(fleet, caller, keys, options.seed);
     auto const until = steady::now() + std::chrono::milliseconds(int(duration_s * 1000));
     while (steady::now() < until)
@@ -57,6 +92,7 @@
     faults.finish();
     std::this_thread::sleep_for(std::chrono::seconds(3));
     caller.finish();
+    downloads.finish();
     std::vector<std::string> violations = faults.violations();
     if (!fleet.configure(fleet.accepted_version() + 1, 15))
         violations.push_back(
@@ -68,9 +104,13 @@
         if (fleet.log_of(fleet.entry_name(i)).find(newest) == std::string::npos)
             violations.push_back(fleet.entry_name(i) + " has no view with the configuration" +
                                  newest + "that was accepted after all faults had ended");
-    auto const report = check_invariants(caller.calls(), fleet.records());
+    auto calls = caller.calls();
+    calls.insert(downloads.calls().begin(), downloads.calls().end());
+    if (report_downloads(fleet, downloads) > memory_mb)
+        violations.push_back("an entry host took more than " + std::to_string(memory_mb) + " MB");
+    auto const report = check_invariants(calls, fleet.records());
     violations.insert(violations.end(), report.violations.begin(), report.violations.end());
-    auto const statements = check_statements(caller.calls(), fleet.records(), faults.disturbed());
+    auto const statements = check_statements(calls, fleet.records(), faults.disturbed());
     violations.insert(violations.end(), statements.begin(), statements.end());
     keys.check(caller.calls(), fleet.records(), violations);
     std::cout << to_string(report.counts) << "\n";
