Count only seeds that vote when one proposes the founding

Cause, found on reading the vote again: a seed that came back with a new disk before the founding greets, but doesn't vote. If its name is the lowest, the others waited for its proposal for good.

Change: a seed is there if its part in the vote was received lately.

--- a/src/fleet/registry_group.cpp
+++ b/src/fleet/registry_group.cpp
@@ -116,6 +116,7 @@
 {
     if (!founding_vote_ || raft_->last_index().value() != 0)
         return;
+    founding_heard_[message.host] = instant::clock::now();
     if (founding_vote_->observe(message.host, message.state))
         publish_founding_vote();
     else if (auto const chosen = founding_vote_->chosen())
@@ -151,9 +152,10 @@
     bool is_first = true;
     for (auto const& seed : founding_vote_->seeds())
     {
-        auto const known = known_controls_.find(seed);
-        bool const is_present = seed == self_ || (known != known_controls_.end() &&
-                                                  known->second.received_at + present_for > now);
+        // A seed that greets may have a new disk, with which it doesn't vote.
+        auto const heard = founding_heard_.find(seed);
+        bool const is_present =
+            seed == self_ || (heard != founding_heard_.end() && heard->second + present_for > now);
         present += is_present ? 1 : 0;
         is_first = is_first && (!is_present || self_ <= seed);
     }
--- a/src/fleet/registry_node.hpp
+++ b/src/fleet/registry_node.hpp
@@ -236,6 +236,8 @@
     std::string founding_snapshot_;
     /// Only on seeds that took part in the first start of the system.
     std::optional<founding_vote> founding_vote_;
+    /// When the other seeds last sent their part in the vote.
+    std::map<host_name, instant> founding_heard_;
     std::map<host_name, std::unique_ptr<frame_client>> links_;
     std::map<host_name, known_control> known_controls_;
     std::map<frame_session*, entry_session> entry_sessions_;
--- a/test/correctness/fleet/founding_test.cpp
+++ b/test/correctness/fleet/founding_test.cpp
@@ -71,6 +71,17 @@
             CHECK(fleet.read_version(lost) == 2);
         }
     }
+    GIVEN("a seed that is back with a new disk before the others have founded the group")
+    {
+        platform_fleet fleet(options_of("founding", 25700));
+        for (unsigned i = 1; i < fleet.options().controls; ++i)
+            fleet.start_control(i, true);
+        fleet.start_control(0);
+        THEN("the others found it")
+        {
+            CHECK(fleet.configure(1, founding_limit_s));
+        }
+    }
     GIVEN("two seeds of three, which lose their power before the group is founded")
     {
         platform_fleet_options options = options_of("founding", 25700);
