--- a/test/correctness/fleet/cut_off_entry_test.cpp
+++ b/test/correctness/fleet/cut_off_entry_test.cpp
@@ -47,6 +47,8 @@
 
     std::atomic<bool> answers{true};
     std::atomic<std::uint64_t> access_index{first_index};
+    /// Whether the views that it sends have the table of workspaces.
+    std::atomic<bool> has_workspaces{true};
     /// Of the line that answers each use.
     std::atomic<std::uint32_t> credit{0};
     std::atomic<std::uint32_t> wait_ms{0};
@@ -77,7 +79,8 @@
         out.to = index;
         out.whole = true;
         out.config = decoded.value().config;
-        out.access = decoded.value().access;
+        if (has_workspaces)
+            out.access = decoded.value().access;
         if (session_)
             session_->send(frame_type::fleet_changes, encode(out));
     }
@@ -108,8 +111,12 @@
     event_loop callers{"callers"};
     http_client client{callers};
 
-    deployment()
+    /// `has_workspaces` says whether the first view has the table of workspaces, and
+    /// `access_index` which change of it the leader names.
+    explicit deployment(bool has_workspaces = true, std::uint64_t access_index = first_index)
     {
+        control.has_workspaces = has_workspaces;
+        control.access_index = access_index;
         REQUIRE(control.listen());
         REQUIRE(entry.start());
         for (int i = 0; i < 100 && ask("/ready", "", readiness_listen).status != 200; ++i)
@@ -206,6 +213,31 @@
     }
 }
 
+// Guards against requests that are served without a key because the host's view is older than the
+// first table of workspaces.
+SCENARIO("an entry host whose view lacks the table of workspaces doesn't serve without a lease")
+{
+    deployment system(false, 9);
+    auto const refusal = system.ask("/check/1", "");
+    CHECK(refusal.status == 503);
+    CHECK(refusal.body.find("cannot check keys") != std::string::npos);
+
+    WHEN("the view arrives with the table")
+    {
+        system.control.has_workspaces = true;
+        system.control.push(9);
+        pause(milliseconds(100));
+        CHECK(system.passes_checks("key-two"));
+        CHECK(system.ask("/check/1", "").status == 401);
+    }
+    WHEN("the leader confirms that there is no table")
+    {
+        system.control.access_index = first_index;
+        pause(milliseconds(700));
+        CHECK(system.passes_checks(""));
+    }
+}
+
 // Guards against callers that wait for credit for ever, and against requests that stay behind after
 // their callers have left or when the host stops.
 SCENARIO("a request waits a short time for credit")
