--- a/test/correctness/fleet/broken_answer_test.cpp
+++ b/test/correctness/fleet/broken_answer_test.cpp
@@ -33,12 +33,12 @@
     platform_fleet fleet(options);
     REQUIRE(fleet.start());
     scripted_upstream upstream(script);
-    REQUIRE(fleet.request_control(
-                0, "PUT", "/v1/instances/broken",
-                "{\"address\":\"" + upstream.endpoint().value() +
-                    "\",\"born\":1,\"info\":{\"service\":\"roster\",\"version\":\"v1\",\"zone\":\"north-a\","
-                    "\"concurrency_limit\":4},\"status\":{\"state\":\"ready\",\"sequence\":1,\"warmup_left_ms\":0}}") ==
-            200);
+    REQUIRE(fleet.request_control(0, "PUT", "/v1/instances/broken",
+                                  "{\"address\":\"" + upstream.endpoint().value() +
+                                      "\",\"born\":1,\"info\":{\"service\":\"roster\",\"version\":"
+                                      "\"v1\",\"zone\":\"north-a\","
+                                      "\"concurrency_limit\":4},\"status\":{\"state\":\"ready\","
+                                      "\"sequence\":1,\"warmup_left_ms\":0}}") == 200);
     std::this_thread::sleep_for(milliseconds(700));
     auto const entry = guavashed::parse_endpoint(fleet.entry_endpoint(0)).value();
     std::string const fields = " HTTP/1.1\r\nHost: roster.example\r\nX-Guavashed-Request-Id: 1\r\n"
--- a/test/correctness/fleet/refusal_test.cpp
+++ b/test/correctness/fleet/refusal_test.cpp
@@ -28,10 +28,11 @@
     explicit scripted_fleet(std::string const& bytes) : fleet_(options()), upstream_({{bytes}})
     {
         REQUIRE(fleet_.start());
-        std::string const announcement =
-            "{\"address\":\"" + upstream_.endpoint().value() +
-            "\",\"born\":1,\"info\":{\"service\":\"roster\",\"version\":\"v1\",\"zone\":\"north-a\","
-            "\"concurrency_limit\":4},\"status\":{\"state\":\"ready\",\"sequence\":1,\"warmup_left_ms\":0}}";
+        std::string const announcement = "{\"address\":\"" + upstream_.endpoint().value() +
+                                         "\",\"born\":1,\"info\":{\"service\":\"roster\","
+                                         "\"version\":\"v1\",\"zone\":\"north-a\","
+                                         "\"concurrency_limit\":4},\"status\":{\"state\":\"ready\","
+                                         "\"sequence\":1,\"warmup_left_ms\":0}}";
         REQUIRE(fleet_.request_control(0, "PUT", "/v1/instances/scripted", announcement) == 200);
         std::this_thread::sleep_for(milliseconds(700));
     }
--- a/test/correctness/platform/wire_registry_test.cpp
+++ b/test/correctness/platform/wire_registry_test.cpp
@@ -81,8 +81,8 @@
         replaced(announcement, "10.128.0.9:8080", "elsewhere"),
         replaced(announcement, "\"sequence\":4,", ""),
         replaced(announcement, "\"service\":\"huvo11a\",", ""),
-        replaced(announcement, "\"version\":\"v1\",", ""),
-        replaced(announcement, "\"v1\"", "1"), replaced(announcement, "\"v1\"", "null"),
+        replaced(announcement, "\"version\":\"v1\",", ""), replaced(announcement, "\"v1\"", "1"),
+        replaced(announcement, "\"v1\"", "null"),
         replaced(announcement, ",\n    \"warmup_left_ms\":250", ""),
         replaced(announcement, "250", "\"250\""), replaced(announcement, "1234", "-1"),
         replaced(announcement, "1234", "\"today\""), announcement.substr(0, 80));
