--- a/src/fleet/founding_vote.cpp
+++ b/src/fleet/founding_vote.cpp
@@ -71,14 +71,13 @@
 
 std::optional<std::string> founding_vote::chosen() const
 {
-    for (auto const& [seed, state] : states_)
+    for (auto const& item : states_)
     {
-        if (state.snapshot.empty())
-            continue;
-        auto const accepted =
-            std::count_if(states_.begin(), states_.end(),
-                          [&](auto const& item) { return item.second.accepted == state.accepted; });
-        if (static_cast<std::size_t>(accepted) >= majority())
+        founding_state const& state = item.second;
+        auto const accepted = std::count_if(states_.begin(), states_.end(),
+                                            [&state](auto const& other)
+                                            { return other.second.accepted == state.accepted; });
+        if (!state.snapshot.empty() && static_cast<std::size_t>(accepted) >= majority())
             return state.snapshot;
     }
     return std::nullopt;
